--- a/crates/thornbridge-config/src/keys.rs
+++ b/crates/thornbridge-config/src/keys.rs
@@ -7,6 +7,7 @@
 use rand::TryRngCore;
 use rand::rngs::OsRng;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest as _, Sha256};
 use snafu::{OptionExt, ResultExt, Snafu, ensure};
 use std::fmt;
 use std::fs::OpenOptions;
@@ -163,6 +164,12 @@
         Ok(Self(random_bytes()?))
     }
 
+    /// A key that anybody who knows `label` can make too. It keeps clusters apart that meet by
+    /// mistake, and no more: for places that hand out no secret.
+    pub fn derived(label: &str) -> Self {
+        Self(Sha256::digest(label.as_bytes()).into())
+    }
+
     /// Reads a key from its file, after a check of the file's mode.
     pub fn read(file: &Path) -> Result<Self, KeyError> {
         let text = read_secret(file)?;
--- a/crates/thornbridge-config/src/lib.rs
+++ b/crates/thornbridge-config/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod objects;
 pub mod parse;
 pub mod problem;
+pub mod routes;
 pub mod settings;
 pub mod validation;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/action.rs
@@ -0,0 +1,370 @@
+//! What a gateway wants done.
+
+use super::event::ViewKind;
+use crate::driver_action::{CallerId, ConnectionId};
+use bytes::Bytes;
+use http::HeaderMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thornbridge_config::routes::{CallerLimits, RouteVersion};
+use thornbridge_proto::peer::PeerMessage;
+use thornbridge_proto::peer::view::StoreRevision;
+use thornbridge_proto::{AttemptId, BackEndId};
+
+/// A read of the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum SourceRead {
+    /// A page of all objects.
+    List {
+        /// Begin after this name.
+        after: Option<String>,
+    },
+    /// Changes after a revision, or none after `wait`.
+    Watch {
+        /// Revision that is known.
+        from: StoreRevision,
+        /// Longest wait.
+        wait: Duration,
+    },
+}
+
+/// Why a request is refused or fails.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalReason {
+    /// No configuration is known yet.
+    NoConfiguration,
+    /// The configuration has no such route.
+    NoRoute,
+    /// The caller gave no identity for its request.
+    NoIdentity,
+    /// No server of the service is known or takes requests.
+    NoServer,
+    /// The servers refused it.
+    ServersBusy,
+    /// This node has too much to do.
+    Overloaded,
+    /// Servers failed, and no attempt is left.
+    ServersFailed,
+    /// Too few shards answered, and no attempt is left.
+    TooFewShards,
+    /// No answer within the time.
+    TimedOut,
+}
+
+impl RefusalReason {
+    /// Name for logs, metrics and the body of the answer.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::NoIdentity => "no_identity",
+            Self::NoServer => "no_server",
+            Self::ServersBusy => "servers_busy",
+            Self::Overloaded => "overloaded",
+            Self::ServersFailed => "servers_failed",
+            Self::TooFewShards => "too_few_shards",
+            Self::TimedOut => "timed_out",
+        }
+    }
+}
+
+/// What a refusal promises.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalPromise {
+    /// The request did not run and will not.
+    NotRun,
+    /// It may have run.
+    MayHaveRun,
+    /// It came too late to be answered, and may have run.
+    TimedOut,
+    /// The request is wrong.
+    BadRequest,
+    /// There is no such route.
+    NotFound,
+}
+
+/// The answer to a caller.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GatewayAnswer {
+    /// A server's answer, unchanged.
+    Forwarded {
+        /// Status code.
+        status: u16,
+        /// Headers.
+        headers: HeaderMap,
+        /// Body.
+        body: Bytes,
+    },
+    /// The merged records of the shards that answered.
+    Gathered {
+        /// Signatures of the parts.
+        signatures: Vec<Bytes>,
+        /// Shards that are left out.
+        missing: usize,
+        /// Records, the greatest first.
+        records: Bytes,
+    },
+    /// No answer.
+    Refused {
+        /// Why.
+        reason: RefusalReason,
+        /// What that promises.
+        promise: RefusalPromise,
+        /// When to come back.
+        retry_after: Option<Duration>,
+    },
+}
+
+/// One attempt of one server, as a log line tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AttemptNote {
+    /// Server.
+    pub server: BackEndId,
+    /// Time from the request's arrival to sending.
+    pub sent_after: Duration,
+    /// Why it was sent.
+    pub cause: AttemptCause,
+    /// Its end, where it had one.
+    pub outcome: AttemptOutcome,
+    /// Time from sending to that end.
+    pub took: Option<Duration>,
+}
+
+/// Why an attempt was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptCause {
+    /// The first for its shard or request.
+    First,
+    /// The first was slow.
+    Hedge,
+    /// An earlier one failed.
+    Retry,
+}
+
+impl AttemptCause {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+        }
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// Not at all, when the request was answered.
+    Open,
+    /// With a usable answer.
+    Answered,
+    /// With a failure of the server's own.
+    ServerFailure,
+    /// Refused: not run.
+    NotRun,
+    /// The address belongs to another instance.
+    WrongInstance,
+    /// Bytes that are no answer to it.
+    Spoilt,
+    /// The connection broke.
+    Broken,
+}
+
+impl AttemptOutcome {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Answered => "answered",
+            Self::ServerFailure => "server_failure",
+            Self::NotRun => "not_run",
+            Self::WrongInstance => "wrong_instance",
+            Self::Spoilt => "spoilt",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// How a request ended, for the log and the metrics.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestNote {
+    /// Identity that the caller gave.
+    pub id: String,
+    /// Route; empty where none was found.
+    pub route: String,
+    /// Version of the configuration that decided.
+    pub version: RouteVersion,
+    /// Revision of the registry at the end.
+    pub registry: StoreRevision,
+    /// Time from arrival to answer.
+    pub took: Duration,
+    /// Time from arrival at which an answer was due to be worth most.
+    pub objective: Duration,
+    /// Parts that answered.
+    pub parts: usize,
+    /// Parts that were asked.
+    pub of: usize,
+    /// Outcome in a word.
+    pub outcome: &'static str,
+    /// Attempts beyond each part's first, and those that did not simply succeed.
+    pub notable: Vec<AttemptNote>,
+    /// Attempts sent.
+    pub attempts: usize,
+    /// Extra attempts that the budget did not allow.
+    pub denied: usize,
+}
+
+/// A change of what the gateway believes or does, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GatewayChange {
+    /// A configuration is in force.
+    ConfigurationInForce {
+        /// Version.
+        version: RouteVersion,
+        /// Version before.
+        replaced: RouteVersion,
+        /// Where it came from.
+        origin: ViewOrigin,
+        /// Time from learning to force.
+        staged_for: Duration,
+    },
+    /// An object of the store is kept out.
+    ObjectRefused {
+        /// Name.
+        name: String,
+        /// Why.
+        reason: String,
+    },
+    /// An instance changed.
+    Instance {
+        /// Instance.
+        id: BackEndId,
+        /// Service.
+        service: String,
+        /// New state.
+        state: &'static str,
+        /// Revision of the change.
+        revision: StoreRevision,
+        /// Where it came from.
+        origin: ViewOrigin,
+    },
+    /// Reading a view of the store began to fail, or works again.
+    Source {
+        /// View.
+        kind: ViewKind,
+        /// Whether it works.
+        reachable: bool,
+        /// Why it does not.
+        failure: Option<super::event::SourceFailure>,
+        /// Age of the last answer.
+        age: Duration,
+    },
+    /// A server is avoided, or is no longer.
+    Trust {
+        /// Server.
+        id: BackEndId,
+        /// Whether it is avoided now.
+        avoided: bool,
+        /// Why.
+        cause: &'static str,
+    },
+    /// Members that share the budgets.
+    Members {
+        /// Number.
+        members: usize,
+    },
+    /// The node's own life.
+    Lifecycle {
+        /// New state.
+        state: &'static str,
+    },
+}
+
+/// Where a view came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViewOrigin {
+    /// The store.
+    Store,
+    /// A peer.
+    Peer,
+}
+
+impl ViewOrigin {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+/// Something that a driver carries out.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GatewayAction {
+    /// Open a connection; `ConnectionOpened` or `ConnectionLost` follows.
+    Open {
+        /// Handle.
+        connection: ConnectionId,
+        /// Where to.
+        address: SocketAddr,
+    },
+    /// Close a connection; nothing follows, and an attempt on it has no end.
+    Close {
+        /// Handle.
+        connection: ConnectionId,
+    },
+    /// Send a caller's request on an open, resting connection; `Replied` or `Failed` follows.
+    Send {
+        /// Connection.
+        connection: ConnectionId,
+        /// Attempt.
+        attempt: AttemptId,
+        /// Caller whose request it is.
+        caller: CallerId,
+        /// Instance that is expected there.
+        instance: BackEndId,
+        /// Time that is left.
+        patience: Duration,
+    },
+    /// Answer a caller, which then is forgotten.
+    Answer {
+        /// Caller.
+        caller: CallerId,
+        /// Answer.
+        answer: GatewayAnswer,
+    },
+    /// Read the store; `SourceReplied` follows.
+    Read {
+        /// View.
+        kind: ViewKind,
+        /// Number of the read.
+        read: u64,
+        /// What to read.
+        what: SourceRead,
+        /// Time after which it has failed.
+        timeout: Duration,
+    },
+    /// Send to a peer, best effort.
+    SendPeer {
+        /// Peer.
+        to: SocketAddr,
+        /// Message.
+        message: PeerMessage,
+    },
+    /// Readiness changed.
+    SetReady {
+        /// Whether callers are wanted.
+        ready: bool,
+    },
+    /// Limits towards callers changed.
+    SetLimits {
+        /// Limits.
+        limits: CallerLimits,
+    },
+    /// A request ended.
+    Finished(RequestNote),
+    /// A belief or state changed.
+    Changed(GatewayChange),
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -0,0 +1,206 @@
+//! When a request can be answered, and with what.
+
+use super::leg::{Leg, LegState};
+use super::merging::greatest_records;
+use super::request::{Progress, Request};
+use super::{Exchanges, Scope};
+use crate::gateway::action::{
+    AttemptNote, AttemptOutcome, GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason,
+    RequestNote,
+};
+use crate::gateway::event::ServerReply;
+use crate::gateway::parameters::ExchangeParameters;
+use crate::gateway::routes::{ResolvedGather, ResolvedTarget};
+use crate::time::Timestamp;
+use bytes::Bytes;
+use std::time::Duration;
+use thornbridge_config::routes::RouteVersion;
+use thornbridge_proto::peer::view::StoreRevision;
+
+/// The answer of a request, where it can be answered now.
+pub(super) fn answer(
+    parameters: &ExchangeParameters,
+    now: Timestamp,
+    request: &Request,
+) -> Option<GatewayAnswer> {
+    match &request.route.target {
+        ResolvedTarget::Gather(gather) => gathered(parameters, now, request, gather),
+        ResolvedTarget::Service(_) | ResolvedTarget::Split(_) => {
+            plain(parameters, now, request, request.legs.first()?)
+        }
+    }
+}
+
+fn gathered(
+    parameters: &ExchangeParameters,
+    now: Timestamp,
+    request: &Request,
+    gather: &ResolvedGather,
+) -> Option<GatewayAnswer> {
+    let progress = request.progress();
+    let enough = progress.answered >= gather.least_parts;
+    let complete = progress.pending() == 0;
+    if enough && (complete || now >= request.answer_by) {
+        return Some(merge(request, gather, progress));
+    }
+    if progress.answered + progress.pending() < gather.least_parts {
+        return Some(refusal(parameters, request, RefusalReason::TooFewShards));
+    }
+    (now >= request.ends).then(|| refusal(parameters, request, RefusalReason::TimedOut))
+}
+
+fn merge(request: &Request, gather: &ResolvedGather, progress: Progress) -> GatewayAnswer {
+    let replies: Vec<&ServerReply> = request.legs.iter().filter_map(reply_of).collect();
+    let signatures: Vec<Bytes> = replies
+        .iter()
+        .filter_map(|reply| reply.signature.clone())
+        .collect();
+    let bodies = replies.iter().map(|reply| &reply.body);
+    GatewayAnswer::Gathered {
+        signatures,
+        missing: progress.all - progress.answered,
+        records: greatest_records(bodies, gather.records),
+    }
+}
+
+fn reply_of(leg: &Leg) -> Option<&ServerReply> {
+    match &leg.state {
+        LegState::Answered(reply) => Some(reply),
+        _ => None,
+    }
+}
+
+fn plain(
+    parameters: &ExchangeParameters,
+    now: Timestamp,
+    request: &Request,
+    leg: &Leg,
+) -> Option<GatewayAnswer> {
+    if let Some(reply) = reply_of(leg) {
+        return Some(forwarded(reply));
+    }
+    if leg.is_failed() {
+        if let Some(reply) = &leg.failed_reply {
+            return Some(forwarded(reply));
+        }
+        let reason = match leg.failure {
+            None => RefusalReason::NoServer,
+            Some(AttemptOutcome::NotRun | AttemptOutcome::WrongInstance) => {
+                RefusalReason::ServersBusy
+            }
+            Some(_) => RefusalReason::ServersFailed,
+        };
+        return Some(refusal(parameters, request, reason));
+    }
+    (now >= request.ends).then(|| refusal(parameters, request, RefusalReason::TimedOut))
+}
+
+fn forwarded(reply: &ServerReply) -> GatewayAnswer {
+    GatewayAnswer::Forwarded {
+        status: reply.status,
+        headers: reply.headers.clone(),
+        body: reply.body.clone(),
+    }
+}
+
+/// A refusal, with a promise that holds.
+fn refusal(
+    parameters: &ExchangeParameters,
+    request: &Request,
+    reason: RefusalReason,
+) -> GatewayAnswer {
+    let promise = match (request.may_have_run(), reason) {
+        (false, _) => RefusalPromise::NotRun,
+        (true, RefusalReason::TimedOut) => RefusalPromise::TimedOut,
+        (true, _) => RefusalPromise::MayHaveRun,
+    };
+    let retry_after = (promise == RefusalPromise::NotRun).then_some(parameters.retry_after);
+    GatewayAnswer::Refused {
+        reason,
+        promise,
+        retry_after,
+    }
+}
+
+/// The outcome of an answer in a word.
+pub(super) fn outcome(answer: &GatewayAnswer) -> &'static str {
+    match answer {
+        GatewayAnswer::Forwarded { status, .. } if *status >= 500 => "server_failure",
+        GatewayAnswer::Forwarded { .. } => "forwarded",
+        GatewayAnswer::Gathered { missing: 0, .. } => "gathered",
+        GatewayAnswer::Gathered { .. } => "partial",
+        GatewayAnswer::Refused { reason, .. } => reason.as_str(),
+    }
+}
+
+/// The note of a request that was refused before anything was done for it.
+pub(super) fn unstarted_note(
+    id: &str,
+    route: &str,
+    version: RouteVersion,
+    registry: StoreRevision,
+    reason: RefusalReason,
+) -> GatewayAction {
+    GatewayAction::Finished(RequestNote {
+        id: id.to_owned(),
+        route: route.to_owned(),
+        version,
+        registry,
+        took: Duration::ZERO,
+        objective: Duration::ZERO,
+        parts: 0,
+        of: 0,
+        outcome: reason.as_str(),
+        notable: Vec::new(),
+        attempts: 0,
+        denied: 0,
+    })
+}
+
+impl Exchanges {
+    /// Tells the log how a request ended.
+    pub(super) fn note(&self, scope: &mut Scope<'_>, request: &Request, outcome: &'static str) {
+        let progress = request.progress();
+        let mut notable = request.notes.clone();
+        self.add_open_attempts(scope, request, &mut notable);
+        let note = RequestNote {
+            id: request.id.clone(),
+            route: request.route.route.name.clone(),
+            version: request.route.version,
+            registry: scope.registry,
+            took: scope.now.since(request.arrived),
+            objective: request.answer_by.since(request.arrived),
+            parts: progress.answered,
+            of: progress.all,
+            outcome,
+            notable,
+            attempts: request.legs.iter().map(|leg| leg.sent as usize).sum(),
+            denied: request.denied,
+        };
+        scope.actions.push_back(GatewayAction::Finished(note));
+    }
+
+    fn add_open_attempts(
+        &self,
+        scope: &Scope<'_>,
+        request: &Request,
+        notable: &mut Vec<AttemptNote>,
+    ) {
+        let unanswered = request.legs.iter().filter(|leg| !leg.is_answered());
+        for attempt in unanswered.flat_map(|leg| &leg.open) {
+            let Some(record) = self.attempts.get(attempt) else {
+                continue;
+            };
+            let Some(server) = scope.servers.get(record.carrier.server) else {
+                continue;
+            };
+            notable.push(AttemptNote {
+                server: server.id.clone(),
+                sent_after: record.sent.since(request.arrived),
+                cause: record.cause,
+                outcome: AttemptOutcome::Open,
+                took: None,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -0,0 +1,399 @@
+//! Which server gets a part next, and when.
+
+use super::attempts::Attempt;
+use super::leg::LegState;
+use super::request::Request;
+use super::{Carrier, Exchanges, Scope, repeatable};
+use crate::gateway::action::{AttemptCause, GatewayAction};
+use crate::gateway::servers::{Choice, OpenOutcome, ServerKey, Waiting};
+use std::time::Duration;
+use thornbridge_proto::AttemptId;
+
+/// Work that is expected before anything is learnt, as a share of the latency objective.
+const INITIAL_WORK_SHARE: f64 = 0.15;
+/// Attempts that did not run and do not count against a request's limit.
+const FREE_ATTEMPTS: u32 = 2;
+
+impl Exchanges {
+    /// Does what is due for one part.
+    pub(super) fn advance_leg(
+        &mut self,
+        scope: &mut Scope<'_>,
+        request: &mut Request,
+        index: usize,
+    ) {
+        let leg = &request.legs[index];
+        let due = leg.look_at.is_some_and(|time| time <= scope.now);
+        match leg.state {
+            LegState::Wanting(cause) if leg.look_at.is_none() || due => {
+                self.dispatch(scope, request, index, cause);
+            }
+            LegState::Queued(server, cause) if due => {
+                self.queued_too_long(scope, request, index, server, cause);
+            }
+            LegState::Running if due => self.hedge(scope, request, index),
+            _ => {}
+        }
+    }
+
+    /// Sends a part to the best server, or queues it there.
+    fn dispatch(
+        &mut self,
+        scope: &mut Scope<'_>,
+        request: &mut Request,
+        index: usize,
+        cause: AttemptCause,
+    ) {
+        let look_interval = self.parameters.look_interval;
+        let Some(choice) = self.choose(scope, request, index) else {
+            let leg = &mut request.legs[index];
+            let service = leg.service;
+            if !scope.servers.has_server(service) || leg.sent > 0 {
+                leg.state = LegState::Failed;
+            } else {
+                // Its servers cannot be reached right now; one of them may be soon.
+                leg.look_at = Some(scope.now + look_interval * 2);
+            }
+            return;
+        };
+        self.queue_or_send(scope, request, index, choice.server, cause);
+    }
+
+    fn queue_or_send(
+        &mut self,
+        scope: &mut Scope<'_>,
+        request: &mut Request,
+        index: usize,
+        server: ServerKey,
+        cause: AttemptCause,
+    ) {
+        let extra = request.legs[index].sent > 0;
+        if extra && !self.pay(scope, request, index) {
+            return;
+        }
+        match scope
+            .servers
+            .connection_for(scope.now, scope.actions, server)
+        {
+            OpenOutcome::Resting(connection) => {
+                let carrier = Carrier { server, connection };
+                self.send(scope, request, index, carrier, cause);
+            }
+            OpenOutcome::Wait => {
+                let waiting = Waiting {
+                    caller: request.caller,
+                    leg: index,
+                };
+                if let Some(server) = scope.servers.get_mut(server) {
+                    server.waiting.push_back(waiting);
+                }
+                let wait = self.hedge_delay(scope, request, server);
+                let leg = &mut request.legs[index];
+                leg.state = LegState::Queued(server, cause);
+                leg.look_at = Some(scope.now + wait);
+            }
+        }
+    }
+
+    /// Takes an extra attempt from the budget. Where there is none, the part waits for it or, for
+    /// a plain request, is over.
+    fn pay(&mut self, scope: &mut Scope<'_>, request: &mut Request, index: usize) -> bool {
+        let service = request.legs[index].service;
+        if scope.budget.try_take(scope.now, service) {
+            return true;
+        }
+        request.denied += 1;
+        let waits = request.is_gather();
+        let leg = &mut request.legs[index];
+        leg.denied = true;
+        if waits {
+            leg.look_at = Some(scope.now + self.parameters.look_interval * 4);
+        } else if leg.open.is_empty() {
+            leg.state = LegState::Failed;
+        } else {
+            leg.look_at = Some(scope.now + self.parameters.look_interval * 4);
+        }
+        false
+    }
+
+    pub(super) fn send(
+        &mut self,
+        scope: &mut Scope<'_>,
+        request: &mut Request,
+        index: usize,
+        carrier: Carrier,
+        cause: AttemptCause,
+    ) {
+        self.next_attempt += 1;
+        let attempt = AttemptId(self.next_attempt);
+        let expected = self.expected(scope, request, carrier.server);
+        scope.servers.occupy(carrier.connection, attempt);
+        let Some(server) = scope.servers.get_mut(carrier.server) else {
+            return;
+        };
+        server.sent(scope.now, attempt, expected);
+        let instance = server.id.clone();
+        let record = Attempt {
+            caller: Some(request.caller),
+            leg: index,
+            route: request.route.key,
+            carrier,
+            sent: scope.now,
+            cause,
+            cut_at: None,
+        };
+        self.attempts.insert(attempt, record);
+        let hedge_at = scope.now + self.hedge_delay(scope, request, carrier.server);
+        let may_hedge = repeatable(&request.route);
+        let leg = &mut request.legs[index];
+        leg.state = LegState::Running;
+        leg.open.push(attempt);
+        leg.tried.push(carrier.server);
+        leg.sent += 1;
+        leg.look_at = may_hedge.then_some(hedge_at);
+        scope.actions.push_back(GatewayAction::Send {
+            connection: carrier.connection,
+            attempt,
+            caller: request.caller,
+            instance,
+            patience: request.ends.since(scope.now),
+        });
+    }
+
+    /// A part waits for a connection for longer than it should: another server may be better.
+    fn queued_too_long(
+        &mut self,
+        scope: &mut Scope<'_>,
+        request: &mut Request,
+        index: usize,
+        queued_at: ServerKey,
+        cause: AttemptCause,
+    ) {
+        let interval = self.parameters.look_interval * 2;
+        let mut excluded = request.legs[index].tried.clone();
+        excluded.push(queued_at);
+        let work = self.usual_work(scope, request);
+        let service = request.legs[index].service;
+        let other = scope
+            .servers
+            .choose(scope.now, scope.random, service, work, &excluded);
+        let leg = &mut request.legs[index];
+        leg.look_at = Some(scope.now + interval);
+        let Some(other) = other.filter(|other| !other.silent) else {
+            return;
+        };
+        let waiting = Waiting {
+            caller: request.caller,
+            leg: index,
+        };
+        scope.servers.stop_waiting(queued_at, waiting);
+        leg.state = LegState::Wanting(cause);
+        // An extra attempt was paid for when it was queued.
+        let paid = leg.sent > 0;
+        if paid {
+            self.requeue_paid(scope, request, index, other.server, cause);
+        } else {
+            self.queue_or_send(scope, request, index, other.server, cause);
+        }
+    }
+
+    fn requeue_paid(
+        &mut self,
+        scope: &mut Scope<'_>,
+        request: &mut Request,
+        index: usize,
+        server: ServerKey,
+        cause: AttemptCause,
+    ) {
+        match scope
+            .servers
+            .connection_for(scope.now, scope.actions, server)
+        {
+            OpenOutcome::Resting(connection) => {
+                self.send(scope, request, index, Carrier { server, connection }, cause);
+            }
+            OpenOutcome::Wait => {
+                let waiting = Waiting {
+                    caller: request.caller,
+                    leg: index,
+                };
+                if let Some(server) = scope.servers.get_mut(server) {
+                    server.waiting.push_back(waiting);
+                }
+                request.legs[index].state = LegState::Queued(server, cause);
+            }
+        }
+    }
+
+    /// The first attempt is slower than usual: another server may get the part too.
+    fn hedge(&mut self, scope: &mut Scope<'_>, request: &mut Request, index: usize) {
+        let interval = self.parameters.look_interval * 2;
+        let leg = &mut request.legs[index];
+        leg.look_at = None;
+        if !self.may_send_more(request, index) {
+            return;
+        }
+        let Some(choice) = self.choose(scope, request, index) else {
+            return;
+        };
+        let left = request.ends.since(scope.now);
+        if choice.silent || choice.cost > left {
+            request.legs[index].look_at = Some(scope.now + interval);
+            return;
+        }
+        let service = request.legs[index].service;
+        if !scope.budget.allows(scope.now, service) {
+            request.denied += usize::from(!request.legs[index].denied);
+            request.legs[index].denied = true;
+            request.legs[index].look_at = Some(scope.now + interval * 2);
+            return;
+        }
+        // Without a resting connection the part would leave its running state; one is opened,
+        // and the next look uses it.
+        match scope
+            .servers
+            .connection_for(scope.now, scope.actions, choice.server)
+        {
+            OpenOutcome::Resting(connection) => {
+                if !scope.budget.try_take(scope.now, service) {
+                    return;
+                }
+                let server = choice.server;
+                let carrier = Carrier { server, connection };
+                self.send(scope, request, index, carrier, AttemptCause::Hedge);
+            }
+            OpenOutcome::Wait => {
+                request.legs[index].look_at = Some(scope.now + self.parameters.look_interval);
+            }
+        }
+    }
+
+    /// Whether the route allows another attempt of a part.
+    pub(super) fn may_send_more(&self, request: &Request, index: usize) -> bool {
+        let leg = &request.legs[index];
+        let most = request.route.route.attempts;
+        let ran = leg.ran();
+        let within = ran < most && leg.sent < most + FREE_ATTEMPTS;
+        within && (ran == 0 || repeatable(&request.route))
+    }
+
+    fn choose(&self, scope: &mut Scope<'_>, request: &Request, index: usize) -> Option<Choice> {
+        let work = self.usual_work(scope, request);
+        let leg = &request.legs[index];
+        scope
+            .servers
+            .choose(scope.now, scope.random, leg.service, work, &leg.tried)
+    }
+
+    /// Work of a request of the route at a server of usual speed.
+    pub(super) fn usual_work(&self, scope: &mut Scope<'_>, request: &Request) -> Duration {
+        let objective = request.route.route.latency_objective;
+        let learnt = scope.routes.statistics(request.route.key).work.mean();
+        learnt.unwrap_or_else(|| objective.mul_f64(INITIAL_WORK_SHARE))
+    }
+
+    fn expected(&self, scope: &mut Scope<'_>, request: &Request, server: ServerKey) -> Duration {
+        let work = self.usual_work(scope, request);
+        let Some(server) = scope.servers.get(server) else {
+            return work;
+        };
+        let speed = server.speed(&scope.servers.parameters, scope.now);
+        server.round_trip() + work.mul_f64(speed)
+    }
+
+    /// Time after which an attempt at a server is slower than usual.
+    fn hedge_delay(&self, scope: &mut Scope<'_>, request: &Request, server: ServerKey) -> Duration {
+        let parameters = &self.parameters;
+        let objective = request.route.route.latency_objective;
+        let statistics = scope.routes.statistics(request.route.key);
+        let Some(work) = statistics.work.quantile(parameters.hedge_quantile) else {
+            return objective.mul_f64(parameters.hedge_initial_share);
+        };
+        let Some(server) = scope.servers.get(server) else {
+            return work;
+        };
+        // A slow server is no reason to wait longer.
+        let speed = server
+            .speed(&scope.servers.parameters, scope.now)
+            .clamp(0.7, 1.5);
+        (server.round_trip() + work.mul_f64(speed)).max(parameters.hedge_minimum)
+    }
+
+    /// A server has a resting connection: sends what waits for it.
+    pub(super) fn serve_waiting(&mut self, scope: &mut Scope<'_>, key: ServerKey) {
+        loop {
+            let Some(server) = scope.servers.get(key) else {
+                return;
+            };
+            let takes = server.takes_requests();
+            if takes && server.resting.is_empty() {
+                return;
+            }
+            let Some(waiting) = scope.servers.next_waiting(key) else {
+                return;
+            };
+            self.serve_one(scope, key, waiting, takes);
+        }
+    }
+
+    fn serve_one(
+        &mut self,
+        scope: &mut Scope<'_>,
+        key: ServerKey,
+        waiting: Waiting,
+        server_takes: bool,
+    ) {
+        let Some(mut request) = self.requests.remove(&waiting.caller) else {
+            return;
+        };
+        let state = &request.legs[waiting.leg].state;
+        if let LegState::Queued(server, cause) = *state
+            && server == key
+        {
+            self.serve_queued(scope, &mut request, waiting.leg, key, cause, server_takes);
+        }
+        let caller = request.caller;
+        self.requests.insert(caller, request);
+        self.advance(scope, caller);
+    }
+
+    fn serve_queued(
+        &mut self,
+        scope: &mut Scope<'_>,
+        request: &mut Request,
+        index: usize,
+        server: ServerKey,
+        cause: AttemptCause,
+        server_takes: bool,
+    ) {
+        if server_takes
+            && let OpenOutcome::Resting(connection) =
+                scope
+                    .servers
+                    .connection_for(scope.now, scope.actions, server)
+        {
+            let carrier = Carrier { server, connection };
+            self.send(scope, request, index, carrier, cause);
+            return;
+        }
+        let leg = &mut request.legs[index];
+        leg.state = LegState::Wanting(cause);
+        leg.look_at = None;
+    }
+
+    /// Servers that take nothing any more, or cannot be reached: what waits there goes elsewhere.
+    pub(super) fn strand_waiting(&mut self, scope: &mut Scope<'_>, key: ServerKey) {
+        let mut stranded = Vec::new();
+        while let Some(waiting) = scope.servers.next_waiting(key) {
+            stranded.push(waiting);
+        }
+        for waiting in stranded {
+            self.serve_one(scope, key, waiting, false);
+        }
+    }
+}
+
+/// The attempts of a part that may still answer.
+pub(super) fn remove_open(open: &mut Vec<AttemptId>, attempt: AttemptId) {
+    open.retain(|other| *other != attempt);
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/exchange/leg.rs
@@ -0,0 +1,80 @@
+//! One part of a request: the whole of a plain one, or one shard of a gather.
+
+use crate::gateway::action::{AttemptCause, AttemptOutcome};
+use crate::gateway::budget::ServiceKey;
+use crate::gateway::event::ServerReply;
+use crate::gateway::servers::ServerKey;
+use crate::time::Timestamp;
+use thornbridge_proto::AttemptId;
+
+/// How a part stands.
+#[derive(Debug)]
+pub(super) enum LegState {
+    /// Nothing is under way: an attempt is wanted.
+    Wanting(AttemptCause),
+    /// An attempt waits for a connection of this server.
+    Queued(ServerKey, AttemptCause),
+    /// One or more attempts are under way.
+    Running,
+    /// Answered.
+    Answered(Box<ServerReply>),
+    /// No attempt is left.
+    Failed,
+}
+
+/// One part.
+#[derive(Debug)]
+pub(super) struct Leg {
+    pub(super) service: ServiceKey,
+    pub(super) state: LegState,
+    /// Attempts under way.
+    pub(super) open: Vec<AttemptId>,
+    /// Servers that got it.
+    pub(super) tried: Vec<ServerKey>,
+    /// Attempts that were sent.
+    pub(super) sent: u32,
+    /// Of these, those that certainly did not run.
+    pub(super) not_run: u32,
+    /// When to look at it again; `None` while only its attempts' ends matter.
+    pub(super) look_at: Option<Timestamp>,
+    /// Last failure.
+    pub(super) failure: Option<AttemptOutcome>,
+    /// A server's own failure, to be passed on when nothing better comes.
+    pub(super) failed_reply: Option<Box<ServerReply>>,
+    /// Whether the budget once denied it an attempt.
+    pub(super) denied: bool,
+}
+
+impl Leg {
+    pub(super) fn new(service: ServiceKey) -> Self {
+        Self {
+            service,
+            state: LegState::Wanting(AttemptCause::First),
+            open: Vec::new(),
+            tried: Vec::new(),
+            sent: 0,
+            not_run: 0,
+            look_at: None,
+            failure: None,
+            failed_reply: None,
+            denied: false,
+        }
+    }
+
+    pub(super) fn is_answered(&self) -> bool {
+        matches!(self.state, LegState::Answered(_))
+    }
+
+    pub(super) fn is_failed(&self) -> bool {
+        matches!(self.state, LegState::Failed)
+    }
+
+    pub(super) fn is_over(&self) -> bool {
+        self.is_answered() || self.is_failed()
+    }
+
+    /// Servers on which it ran or may have run.
+    pub(super) fn ran(&self) -> u32 {
+        self.sent - self.not_run
+    }
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -0,0 +1,274 @@
+//! Requests under way: their attempts, second attempts, retries, completeness and answers.
+//!
+//! A request is one part, or for a gather one part for each shard. Each part is sent to one
+//! server; when that is slower than usual, or failed, another server may get it too, paid from
+//! the budget of extra attempts. A gather is answered when all parts are in, or when the time for
+//! an answer that is worth most is over and enough parts are in. Where too few are in then, it
+//! goes on: a late answer is worth more than none.
+//!
+//! Guards against: a request that is held after it was given up, one that runs more often than it
+//! may, and an answer of another request.
+
+mod answering;
+mod attempts;
+mod dispatching;
+mod leg;
+mod merging;
+mod request;
+#[cfg(test)]
+mod tests;
+
+use super::action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason};
+use super::budget::{ExtraAttemptBudget, ServiceKey};
+use super::event::RequestHead;
+use super::parameters::ExchangeParameters;
+use super::routes::{ResolvedRoute, ResolvedTarget, RouteTable};
+use super::servers::{ServerKey, Servers};
+use crate::driver_action::{CallerId, ConnectionId};
+use crate::time::Timestamp;
+use attempts::Attempt;
+use leg::Leg;
+use rand_pcg::Pcg64Mcg;
+use request::Request;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+use std::time::Duration;
+use thornbridge_config::routes::Repeatability;
+use thornbridge_proto::AttemptId;
+use thornbridge_proto::peer::view::StoreRevision;
+
+/// Patience of a caller that gives none.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
+
+/// What the engine is given with each call.
+pub(super) struct Scope<'a> {
+    pub(super) now: Timestamp,
+    pub(super) random: &'a mut Pcg64Mcg,
+    pub(super) actions: &'a mut VecDeque<GatewayAction>,
+    pub(super) servers: &'a mut Servers,
+    pub(super) routes: &'a mut RouteTable,
+    pub(super) budget: &'a mut ExtraAttemptBudget,
+    /// Revision of the registry, for the log.
+    pub(super) registry: StoreRevision,
+}
+
+/// All requests under way.
+#[derive(Debug)]
+pub(super) struct Exchanges {
+    parameters: ExchangeParameters,
+    requests: BTreeMap<CallerId, Request>,
+    schedule: BTreeSet<(Timestamp, CallerId)>,
+    attempts: BTreeMap<AttemptId, Attempt>,
+    /// Attempts to be cut off at a time.
+    cuts: BTreeSet<(Timestamp, AttemptId)>,
+    next_attempt: u64,
+}
+
+impl Exchanges {
+    pub(super) fn new(parameters: ExchangeParameters) -> Self {
+        Self {
+            parameters,
+            requests: BTreeMap::new(),
+            schedule: BTreeSet::new(),
+            attempts: BTreeMap::new(),
+            cuts: BTreeSet::new(),
+            next_attempt: 0,
+        }
+    }
+
+    /// Requests without an answer yet.
+    pub(super) fn in_flight(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// When [`Self::timer_due`] wants to be called.
+    pub(super) fn next_timeout(&self) -> Option<Timestamp> {
+        let look = self.schedule.first().map(|(time, _)| *time);
+        let cut = self.cuts.first().map(|(time, _)| *time);
+        [look, cut].into_iter().flatten().min()
+    }
+
+    /// A request came on a route.
+    pub(super) fn start(
+        &mut self,
+        scope: &mut Scope<'_>,
+        caller: CallerId,
+        head: RequestHead,
+        route: Arc<ResolvedRoute>,
+    ) {
+        let id = head.id.clone().unwrap_or_default();
+        if self.requests.len() >= self.parameters.requests_maximum {
+            self.refuse_unstarted(scope, caller, &id, &route, RefusalReason::Overloaded);
+            return;
+        }
+        let services = choose_services(scope, &route);
+        for service in &services {
+            scope.budget.request(scope.now, *service);
+        }
+        let times = self.times(scope, &head, &route);
+        let legs = services.into_iter().map(Leg::new).collect();
+        let request = Request {
+            caller,
+            id,
+            route,
+            arrived: scope.now,
+            answer_by: times.answer_by,
+            ends: times.ends,
+            legs,
+            look_at: times.ends,
+            notes: Vec::new(),
+            denied: 0,
+        };
+        self.schedule.insert((request.look_at, caller));
+        self.requests.insert(caller, request);
+        self.advance(scope, caller);
+    }
+
+    /// The caller went away. Its attempts mostly end by themselves within the grace.
+    pub(super) fn caller_gone(&mut self, scope: &mut Scope<'_>, caller: CallerId) {
+        let cut_at = scope.now + self.parameters.gone_grace;
+        if let Some(request) = self.forget(scope, caller, cut_at) {
+            self.note(scope, &request, "caller_gone");
+        }
+    }
+
+    /// Looks at what is due.
+    pub(super) fn timer_due(&mut self, scope: &mut Scope<'_>) {
+        while let Some((time, caller)) = self.schedule.first().copied() {
+            if time > scope.now {
+                break;
+            }
+            self.schedule.remove(&(time, caller));
+            self.advance(scope, caller);
+        }
+        while let Some((time, attempt)) = self.cuts.first().copied() {
+            if time > scope.now {
+                break;
+            }
+            self.cuts.remove(&(time, attempt));
+            self.cut(scope, attempt);
+        }
+    }
+
+    /// Does what is due for a request, answers it where that is possible, and schedules it.
+    fn advance(&mut self, scope: &mut Scope<'_>, caller: CallerId) {
+        let Some(mut request) = self.requests.remove(&caller) else {
+            return;
+        };
+        self.schedule.remove(&(request.look_at, caller));
+        for index in 0..request.legs.len() {
+            self.advance_leg(scope, &mut request, index);
+        }
+        if let Some(answer) = answering::answer(&self.parameters, scope.now, &request) {
+            self.finish(scope, request, answer);
+            return;
+        }
+        let soonest = scope.now + Duration::from_millis(1);
+        request.look_at = request.next_look(scope.now).max(soonest);
+        self.schedule.insert((request.look_at, caller));
+        self.requests.insert(caller, request);
+    }
+
+    fn finish(&mut self, scope: &mut Scope<'_>, request: Request, answer: GatewayAnswer) {
+        let outcome = answering::outcome(&answer);
+        let cut_at = request.ends.max(scope.now) + self.parameters.gone_grace;
+        self.abandon(scope, &request, cut_at);
+        self.note(scope, &request, outcome);
+        let caller = request.caller;
+        scope
+            .actions
+            .push_back(GatewayAction::Answer { caller, answer });
+    }
+
+    /// Takes a request off the tables; its attempts are cut off at `cut_at`.
+    fn forget(
+        &mut self,
+        scope: &mut Scope<'_>,
+        caller: CallerId,
+        cut_at: Timestamp,
+    ) -> Option<Request> {
+        let request = self.requests.remove(&caller)?;
+        self.schedule.remove(&(request.look_at, caller));
+        self.abandon(scope, &request, cut_at);
+        Some(request)
+    }
+
+    fn refuse_unstarted(
+        &mut self,
+        scope: &mut Scope<'_>,
+        caller: CallerId,
+        id: &str,
+        route: &ResolvedRoute,
+        reason: RefusalReason,
+    ) {
+        scope.actions.push_back(answering::unstarted_note(
+            id,
+            &route.route.name,
+            route.version,
+            scope.registry,
+            reason,
+        ));
+        let retry_after = Some(self.parameters.retry_after);
+        let promise = RefusalPromise::NotRun;
+        let answer = GatewayAnswer::Refused {
+            reason,
+            promise,
+            retry_after,
+        };
+        scope
+            .actions
+            .push_back(GatewayAction::Answer { caller, answer });
+    }
+
+    /// When an answer is due, and when the final one.
+    fn times(&self, scope: &mut Scope<'_>, head: &RequestHead, route: &ResolvedRoute) -> Times {
+        let parameters = &self.parameters;
+        let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
+        let statistics = scope.routes.statistics(route.key);
+        // A caller that tries again has less patience by what the earlier try took.
+        statistics.longest_patience = statistics.longest_patience.max(patience);
+        let spent = statistics.longest_patience - patience;
+        let way = match head.first_on_connection {
+            true => parameters.caller_delay * 4,
+            false => parameters.caller_delay * 2,
+        };
+        let objective = route.route.latency_objective;
+        let answer_in = objective.saturating_sub(way + parameters.answer_margin + spent);
+        let ends_in = patience
+            .saturating_sub(parameters.caller_delay * 2)
+            .min(route.route.time_limit);
+        Times {
+            answer_by: scope.now + answer_in,
+            ends: scope.now + ends_in,
+        }
+    }
+}
+
+struct Times {
+    answer_by: Timestamp,
+    ends: Timestamp,
+}
+
+/// The service of each part.
+fn choose_services(scope: &mut Scope<'_>, route: &ResolvedRoute) -> Vec<ServiceKey> {
+    match &route.target {
+        ResolvedTarget::Service(service) => vec![*service],
+        ResolvedTarget::Gather(gather) => gather.shards.clone(),
+        ResolvedTarget::Split(parts) => {
+            let index = scope.routes.statistics(route.key).next_part(parts);
+            vec![parts[index].0]
+        }
+    }
+}
+
+/// Whether a route's requests may run more than once.
+fn repeatable(route: &ResolvedRoute) -> bool {
+    route.route.repeatability == Repeatability::Repeatable
+}
+
+/// A connection and server that carry an attempt.
+#[derive(Clone, Copy, Debug)]
+struct Carrier {
+    server: ServerKey,
+    connection: ConnectionId,
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -0,0 +1,76 @@
+//! A request under way.
+
+use super::leg::Leg;
+use crate::driver_action::CallerId;
+use crate::gateway::action::AttemptNote;
+use crate::gateway::routes::{ResolvedRoute, ResolvedTarget};
+use crate::time::Timestamp;
+use std::sync::Arc;
+
+/// A request under way.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub(super) caller: CallerId,
+    pub(super) id: String,
+    pub(super) route: Arc<ResolvedRoute>,
+    pub(super) arrived: Timestamp,
+    /// When an answer has to leave to be worth most.
+    pub(super) answer_by: Timestamp,
+    /// When the final answer has to leave.
+    pub(super) ends: Timestamp,
+    pub(super) legs: Vec<Leg>,
+    /// When it is in the schedule.
+    pub(super) look_at: Timestamp,
+    pub(super) notes: Vec<AttemptNote>,
+    pub(super) denied: usize,
+}
+
+/// How the parts stand.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Progress {
+    pub(super) all: usize,
+    pub(super) answered: usize,
+    pub(super) failed: usize,
+}
+
+impl Progress {
+    /// Parts that may still answer.
+    pub(super) fn pending(self) -> usize {
+        self.all - self.answered - self.failed
+    }
+}
+
+impl Request {
+    pub(super) fn progress(&self) -> Progress {
+        let mut progress = Progress {
+            all: self.legs.len(),
+            ..Progress::default()
+        };
+        for leg in &self.legs {
+            progress.answered += usize::from(leg.is_answered());
+            progress.failed += usize::from(leg.is_failed());
+        }
+        progress
+    }
+
+    pub(super) fn is_gather(&self) -> bool {
+        matches!(self.route.target, ResolvedTarget::Gather(_))
+    }
+
+    /// Whether any server may have run a part of it.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.legs.iter().any(|leg| leg.ran() > 0)
+    }
+
+    /// When it is to be looked at, if no attempt ends before.
+    pub(super) fn next_look(&self, now: Timestamp) -> Timestamp {
+        let legs = self.legs.iter().filter(|leg| !leg.is_over());
+        let legs = legs.filter_map(|leg| leg.look_at).min();
+        let answer_by = (self.is_gather() && now < self.answer_by).then_some(self.answer_by);
+        [legs, answer_by, Some(self.ends)]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(self.ends)
+    }
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/exchange/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of requests under way.
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -0,0 +1,180 @@
+//! The gateway: plain HTTP requests routed to the servers of a registry.
+//!
+//! Beside the query and action protocols of [`crate::Node`], a cluster can serve HTTP callers
+//! whose servers come and go by themselves. [`Gateway`] holds every decision of that: which
+//! server gets a request, when another one gets it too, when a gather over many shards is
+//! complete enough, which configuration is in force, and what to believe of servers, store and
+//! peers. Like [`crate::Node`] it has no I/O: it takes a [`GatewayEvent`] with the present time
+//! and gives back [`GatewayAction`]s.
+//!
+//! | module | concern |
+//! | --- | --- |
+//! | `views` | route configuration and registry, from the store and from peers |
+//! | `routes` | the configuration in force, resolved |
+//! | `servers` | what is known of servers, their connections, the choice among them |
+//! | `exchange` | requests: attempts, hedges, retries, completeness, answers |
+//! | `budget` | extra attempts, shared by all nodes |
+//! | [`crate::membership`] | who shares the budgets |
+
+mod action;
+mod budget;
+mod event;
+mod exchange;
+mod handling;
+mod parameters;
+mod routes;
+mod servers;
+mod staging;
+#[cfg(test)]
+mod tests;
+mod views;
+mod window;
+mod work;
+
+pub use action::{
+    AttemptCause, AttemptNote, AttemptOutcome, GatewayAction, GatewayAnswer, GatewayChange,
+    RefusalPromise, RefusalReason, RequestNote, SourceRead, ViewOrigin,
+};
+pub use event::{
+    ExchangeFailure, GatewayEvent, ReplyVerdict, RequestHead, ServerLoad, ServerReply,
+    SourceFailure, SourceReply, ViewKind, ViewObject,
+};
+pub use parameters::{
+    BudgetParameters, ExchangeParameters, GatewayParameters, ServerParameters, ViewParameters,
+};
+pub use servers::Placement;
+
+use crate::driver_action::{Action, StateChange};
+use crate::membership::Membership;
+use crate::signal::Signal;
+use crate::time::Timestamp;
+use budget::ExtraAttemptBudget;
+use exchange::Exchanges;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use routes::RouteTable;
+use servers::Servers;
+use staging::Staging;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use thornbridge_config::routes::RouteConfiguration;
+use thornbridge_proto::peer::PeerEndpoint;
+use thornbridge_proto::peer::membership::{MemberRecord, MemberState};
+use thornbridge_proto::{Incarnation, NodeName};
+use views::peers::PeerViews;
+use views::registry::Registry;
+use views::source::SourceReader;
+
+/// What a gateway is told when it is made.
+#[derive(Clone, Debug)]
+pub struct GatewaySetup {
+    /// This run's identity and peer address.
+    pub endpoint: PeerEndpoint,
+    /// Operator's name for it.
+    pub name: NodeName,
+    /// Where it stands.
+    pub placement: Placement,
+    /// Peers to join through.
+    pub seeds: Vec<SocketAddr>,
+    /// Seed of the random generator.
+    pub seed: u64,
+    /// Tunable values.
+    pub parameters: GatewayParameters,
+}
+
+/// The state machine of one gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    now: Timestamp,
+    random: Pcg64Mcg,
+    actions: VecDeque<GatewayAction>,
+    parameters: GatewayParameters,
+    membership: Membership,
+    member_actions: VecDeque<Action>,
+    member_signals: VecDeque<Signal>,
+    members: usize,
+    configuration_source: SourceReader,
+    registry_source: SourceReader,
+    peer_views: PeerViews,
+    registry: Registry,
+    configuration: Option<Arc<RouteConfiguration>>,
+    staging: Staging,
+    routes: RouteTable,
+    servers: Servers,
+    budget: ExtraAttemptBudget,
+    exchanges: Exchanges,
+    ready: bool,
+    stopping: bool,
+    next_warming: Timestamp,
+}
+
+impl Gateway {
+    /// A gateway that has not started: the first event must be [`GatewayEvent::Started`].
+    pub fn new(setup: GatewaySetup) -> Self {
+        let parameters = setup.parameters;
+        let own = MemberRecord {
+            endpoint: setup.endpoint,
+            operator_address: setup.endpoint.address,
+            name: setup.name,
+            zone: setup.placement.zone.clone(),
+            region: setup.placement.region.clone(),
+            incarnation: Incarnation(0),
+            state: MemberState::Alive,
+        };
+        let views = &parameters.views;
+        Self {
+            now: Timestamp::ZERO,
+            random: Pcg64Mcg::seed_from_u64(setup.seed),
+            actions: VecDeque::new(),
+            membership: Membership::new(parameters.membership.clone(), own, setup.seeds),
+            member_actions: VecDeque::new(),
+            member_signals: VecDeque::new(),
+            members: 1,
+            configuration_source: SourceReader::new(ViewKind::Configuration, views.clone()),
+            registry_source: SourceReader::new(ViewKind::Registry, views.clone()),
+            peer_views: PeerViews::new(views.clone()),
+            registry: Registry::default(),
+            configuration: None,
+            staging: Staging::default(),
+            routes: RouteTable::default(),
+            servers: Servers::new(parameters.servers.clone(), setup.placement),
+            budget: ExtraAttemptBudget::new(parameters.budget.clone()),
+            exchanges: Exchanges::new(parameters.exchange.clone()),
+            parameters,
+            ready: false,
+            stopping: false,
+            next_warming: Timestamp::ZERO,
+        }
+    }
+
+    /// The next thing to carry out; `None` when all is done.
+    pub fn poll_action(&mut self) -> Option<GatewayAction> {
+        self.actions.pop_front()
+    }
+
+    /// Requests without an answer yet.
+    pub fn in_flight(&self) -> usize {
+        self.exchanges.in_flight()
+    }
+
+    /// Members that share the budgets, this one included.
+    pub fn members(&self) -> usize {
+        self.members
+    }
+
+    /// Entries of the registry.
+    pub fn instances(&self) -> usize {
+        self.registry.len()
+    }
+
+    /// Version of the configuration in force; 0 where there is none.
+    pub fn version(&self) -> u64 {
+        self.routes.version.0
+    }
+}
+
+/// Whether a change of state concerns members.
+fn is_member_change(change: &StateChange) -> bool {
+    matches!(change, StateChange::MemberChanged { .. })
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -0,0 +1,189 @@
+//! Tunable values of a gateway, each with its default and the reason for it.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Tunable values of the views.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ViewParameters {
+    /// Longest wait of a watch. A watch that has gone silent is found after it.
+    pub watch_wait: Duration,
+    /// Time beyond the wait, or for a list, after which a read has failed.
+    pub read_timeout: Duration,
+    /// First pause after a read that failed; doubled with each.
+    pub first_backoff: Duration,
+    /// Longest pause between reads.
+    pub longest_backoff: Duration,
+    /// Time between exchanges of digests with one peer drawn at random.
+    pub digest_interval: Duration,
+    /// Peers that are told at once of a new revision.
+    pub digest_fanout: usize,
+    /// Time for which departures are remembered for peers.
+    pub departures_kept: Duration,
+    /// Longest time for which a new configuration waits for connections to new shards.
+    pub staging: Duration,
+}
+
+impl Default for ViewParameters {
+    fn default() -> Self {
+        Self {
+            watch_wait: Duration::from_millis(3_500),
+            read_timeout: Duration::from_millis(1_000),
+            first_backoff: Duration::from_millis(100),
+            longest_backoff: Duration::from_millis(1_000),
+            digest_interval: Duration::from_millis(1_000),
+            digest_fanout: 3,
+            departures_kept: Duration::from_secs(120),
+            staging: Duration::from_millis(800),
+        }
+    }
+}
+
+/// Tunable values of the servers and their choice.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ServerParameters {
+    /// Share of a server's connections that all nodes together use. Below 1, since members are
+    /// misjudged for a while when they come and go.
+    pub connection_share: f64,
+    /// Most connections of this node to one server.
+    pub connections_maximum: u32,
+    /// Weight of the newest observation of a server's speed.
+    pub speed_weight: f64,
+    /// Half-life of what is known of a server's speed, while nothing is observed.
+    pub speed_half_life: Duration,
+    /// Cost of a server in another zone, beside its latency: bytes between zones are paid for.
+    pub other_zone_cost: Duration,
+    /// Cost of a server in another region.
+    pub other_region_cost: Duration,
+    /// Cost that a failure adds.
+    pub failure_cost: Duration,
+    /// Cost that a refused connection adds.
+    pub unreachable_cost: Duration,
+    /// Half-life of these costs.
+    pub failure_half_life: Duration,
+    /// An attempt this many times older than expected makes its server a poor choice.
+    pub silence_factor: f64,
+    /// The same, in time that is added.
+    pub silence_margin: Duration,
+    /// Cost of a server that is silent.
+    pub silence_cost: Duration,
+    /// Pause after a connection that could not be opened.
+    pub reconnect_pause: Duration,
+    /// Time that a resting connection is kept, where the server names none.
+    pub idle_time: Duration,
+    /// Time that an instance is still used, as a last choice, after its entry vanished without
+    /// notice: the store may have lost entries that their servers write again within a heartbeat.
+    pub vanished_grace: Duration,
+    /// Answers from which a quantile of the work is taken.
+    pub work_samples: usize,
+}
+
+impl Default for ServerParameters {
+    fn default() -> Self {
+        Self {
+            connection_share: 0.85,
+            connections_maximum: 32,
+            speed_weight: 0.2,
+            speed_half_life: Duration::from_secs(2),
+            other_zone_cost: Duration::from_micros(1_500),
+            other_region_cost: Duration::from_millis(5),
+            failure_cost: Duration::from_millis(40),
+            unreachable_cost: Duration::from_millis(300),
+            failure_half_life: Duration::from_millis(1_000),
+            silence_factor: 2.0,
+            silence_margin: Duration::from_millis(6),
+            silence_cost: Duration::from_millis(60),
+            reconnect_pause: Duration::from_millis(300),
+            idle_time: Duration::from_secs(20),
+            vanished_grace: Duration::from_millis(1_800),
+            work_samples: 256,
+        }
+    }
+}
+
+/// Tunable values of requests.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct ExchangeParameters {
+    /// One way to a caller: a latency objective counts at the caller.
+    pub caller_delay: Duration,
+    /// Time kept for this node's own work between the decision to answer and the last byte.
+    pub answer_margin: Duration,
+    /// Quantile of the work after which a second attempt is made.
+    pub hedge_quantile: f64,
+    /// Least time before a second attempt.
+    pub hedge_minimum: Duration,
+    /// Share of the latency objective that a second attempt waits before anything is learnt.
+    pub hedge_initial_share: f64,
+    /// Time between looks at a request that waits for the budget or a server.
+    pub look_interval: Duration,
+    /// Time after a caller left before its attempts are cut off. Most end by themselves, and a
+    /// connection is dear.
+    pub gone_grace: Duration,
+    /// Time that a request may wait for a server or connection before it is refused.
+    pub queue_share: f64,
+    /// When a refused caller is to come back.
+    pub retry_after: Duration,
+    /// Requests at once, beyond which new ones are refused.
+    pub requests_maximum: usize,
+}
+
+impl Default for ExchangeParameters {
+    fn default() -> Self {
+        Self {
+            caller_delay: Duration::from_millis(3),
+            answer_margin: Duration::from_millis(5),
+            hedge_quantile: 0.9,
+            hedge_minimum: Duration::from_millis(2),
+            hedge_initial_share: 0.25,
+            look_interval: Duration::from_millis(5),
+            gone_grace: Duration::from_millis(250),
+            queue_share: 0.2,
+            retry_after: Duration::from_millis(100),
+            requests_maximum: 400,
+        }
+    }
+}
+
+/// The budget of attempts beyond the first, for all nodes together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct BudgetParameters {
+    /// Extra attempts for each request of a service.
+    pub ratio: f64,
+    /// Extra attempts in a window beside those, for all nodes together.
+    pub slack: f64,
+    /// Window.
+    pub window: Duration,
+    /// Share of the budget that is used: attempts arrive later than they are counted here.
+    pub used_share: f64,
+}
+
+impl Default for BudgetParameters {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            slack: 10.0,
+            window: Duration::from_secs(10),
+            used_share: 0.85,
+        }
+    }
+}
+
+/// All tunable values of a gateway.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct GatewayParameters {
+    /// Views.
+    pub views: ViewParameters,
+    /// Servers.
+    pub servers: ServerParameters,
+    /// Requests.
+    pub exchange: ExchangeParameters,
+    /// Extra attempts.
+    pub budget: BudgetParameters,
+    /// Membership.
+    pub membership: crate::membership::MembershipParameters,
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/routes.rs
@@ -0,0 +1,174 @@
+//! The configuration in force, resolved: which route a request takes.
+
+use super::budget::ServiceKey;
+use super::servers::Servers;
+use super::work::WorkEstimate;
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+use thornbridge_config::routes::{Route, RouteConfiguration, RouteTarget, RouteVersion};
+
+/// Tolerance of a comparison of shares.
+const SHARE_TOLERANCE: f64 = 1e-9;
+
+/// Identity of a route over versions: host and prefix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct RouteKey(pub(super) u64);
+
+/// A target with its services' positions.
+#[derive(Debug)]
+pub(super) enum ResolvedTarget {
+    Service(ServiceKey),
+    Split(Vec<(ServiceKey, f64)>),
+    Gather(ResolvedGather),
+}
+
+/// The shards of a gather.
+#[derive(Debug)]
+pub(super) struct ResolvedGather {
+    pub(super) shards: Vec<ServiceKey>,
+    pub(super) records: usize,
+    /// Parts without which an answer is no success.
+    pub(super) least_parts: usize,
+}
+
+/// One route of one version.
+#[derive(Debug)]
+pub(super) struct ResolvedRoute {
+    pub(super) key: RouteKey,
+    pub(super) version: RouteVersion,
+    pub(super) route: Route,
+    pub(super) target: ResolvedTarget,
+}
+
+/// What is learnt of a route, over all versions that have it.
+#[derive(Debug, Default)]
+pub(super) struct RouteStatistics {
+    pub(super) work: WorkEstimate,
+    /// Current weights of a split's parts (smooth weighted round robin).
+    pub(super) split_credit: Vec<f64>,
+    /// Longest time that a caller said it waits: what a first attempt of a caller has.
+    pub(super) longest_patience: std::time::Duration,
+}
+
+/// The configuration in force.
+#[derive(Debug, Default)]
+pub(super) struct RouteTable {
+    pub(super) version: RouteVersion,
+    by_host: BTreeMap<String, Vec<Arc<ResolvedRoute>>>,
+    keys: BTreeMap<(String, String), RouteKey>,
+    next_key: u64,
+    statistics: BTreeMap<RouteKey, RouteStatistics>,
+}
+
+impl RouteTable {
+    /// Puts a configuration in force.
+    pub(super) fn apply(&mut self, configuration: &RouteConfiguration, servers: &mut Servers) {
+        self.version = configuration.version;
+        let mut keys = BTreeMap::new();
+        self.by_host.clear();
+        for route in &configuration.routes {
+            let identity = (route.host.clone(), route.path_prefix.clone());
+            let key = self.keys.get(&identity).copied().unwrap_or_else(|| {
+                self.next_key += 1;
+                RouteKey(self.next_key)
+            });
+            keys.insert(identity, key);
+            let resolved = Arc::new(ResolvedRoute {
+                key,
+                version: configuration.version,
+                target: resolve(&route.target, servers),
+                route: route.clone(),
+            });
+            self.by_host
+                .entry(route.host.clone())
+                .or_default()
+                .push(resolved);
+        }
+        for routes in self.by_host.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.route.path_prefix.len()));
+        }
+        let kept: BTreeSet<RouteKey> = keys.values().copied().collect();
+        self.statistics.retain(|key, _| kept.contains(key));
+        self.keys = keys;
+    }
+
+    /// The route of a request: of the host's, the one with the longest prefix that fits.
+    pub(super) fn find(&self, host: &str, path: &str) -> Option<Arc<ResolvedRoute>> {
+        let routes = self.by_host.get(host)?;
+        let found = routes
+            .iter()
+            .find(|route| path.starts_with(&route.route.path_prefix));
+        found.cloned()
+    }
+
+    /// What is learnt of a route.
+    pub(super) fn statistics(&mut self, key: RouteKey) -> &mut RouteStatistics {
+        self.statistics.entry(key).or_default()
+    }
+
+    /// Shards of every gather.
+    pub(super) fn shards(&self) -> BTreeSet<ServiceKey> {
+        let routes = self.by_host.values().flatten();
+        let shards = routes.filter_map(|route| match &route.target {
+            ResolvedTarget::Gather(gather) => Some(gather.shards.iter().copied()),
+            _ => None,
+        });
+        shards.flatten().collect()
+    }
+}
+
+/// Every service that a configuration names.
+pub(super) fn services_of(
+    configuration: &RouteConfiguration,
+    servers: &mut Servers,
+) -> BTreeSet<ServiceKey> {
+    let routes = configuration.routes.iter();
+    let names = routes.flat_map(|route| route.target.services());
+    names.map(|name| servers.service(name)).collect()
+}
+
+fn resolve(target: &RouteTarget, servers: &mut Servers) -> ResolvedTarget {
+    match target {
+        RouteTarget::Service(service) => ResolvedTarget::Service(servers.service(service)),
+        RouteTarget::Split(parts) => {
+            let parts = parts.iter();
+            let resolved = parts.map(|part| (servers.service(&part.service), part.weight));
+            ResolvedTarget::Split(resolved.collect())
+        }
+        RouteTarget::Gather(gather) => {
+            let shards: Vec<ServiceKey> = gather
+                .shards
+                .iter()
+                .map(|shard| servers.service(shard))
+                .collect();
+            let least = gather.least_share * shards.len() as f64 - SHARE_TOLERANCE;
+            ResolvedTarget::Gather(ResolvedGather {
+                records: gather.records,
+                least_parts: (least.ceil().max(1.0) as usize).min(shards.len()),
+                shards,
+            })
+        }
+    }
+}
+
+impl RouteStatistics {
+    /// The next part of a split: smooth weighted round robin, whose shares are exact over each
+    /// run of requests.
+    pub(super) fn next_part(&mut self, parts: &[(ServiceKey, f64)]) -> usize {
+        if self.split_credit.len() != parts.len() {
+            self.split_credit = vec![0.0; parts.len()];
+        }
+        let total: f64 = parts.iter().map(|(_, weight)| weight).sum();
+        for (credit, (_, weight)) in self.split_credit.iter_mut().zip(parts) {
+            *credit += weight;
+        }
+        let mut best = 0;
+        for index in 1..parts.len() {
+            if self.split_credit[index] > self.split_credit[best] {
+                best = index;
+            }
+        }
+        self.split_credit[best] -= total;
+        best
+    }
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -0,0 +1,277 @@
+//! Connections to servers: how many, when to open one, and which one carries the next attempt.
+//!
+//! Guards against two things: more connections than a server takes from all nodes together, and
+//! churn, since opening one costs the server a slot for a moment.
+
+use super::server::{Availability, Resting, Server, Waiting};
+use super::{ServerKey, Servers};
+use crate::driver_action::ConnectionId;
+use crate::gateway::action::GatewayAction;
+use crate::gateway::budget::ServiceKey;
+use crate::time::Timestamp;
+use std::collections::VecDeque;
+use std::time::Duration;
+use thornbridge_proto::AttemptId;
+
+/// Connections to a server whose limit is not known.
+const UNKNOWN_CONNECTIONS: u32 = 2;
+/// Part of the announced rest that is used: the server counts from an earlier moment.
+const KEEP_ALIVE_SHARE: f64 = 0.7;
+
+/// A connection that is open or opening.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::gateway) struct Connection {
+    pub(in crate::gateway) server: ServerKey,
+    /// `None` while it opens.
+    pub(in crate::gateway) opened: bool,
+    pub(in crate::gateway) attempt: Option<AttemptId>,
+}
+
+/// What became of the wish for a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(in crate::gateway) enum OpenOutcome {
+    /// This one rests.
+    Resting(ConnectionId),
+    /// One is opening, or will be free.
+    Wait,
+}
+
+impl Servers {
+    /// Connections that this node may have to a server.
+    pub(in crate::gateway) fn connection_limit(&self, service: ServiceKey) -> u32 {
+        let known = self.services[service.0 as usize].connections;
+        let Some(all) = known else {
+            return UNKNOWN_CONNECTIONS;
+        };
+        let share = f64::from(all) * self.parameters.connection_share / self.members as f64;
+        (share as u32).clamp(1, self.parameters.connections_maximum)
+    }
+
+    /// A resting connection of the server; opens one where none rests and one more is allowed.
+    pub(in crate::gateway) fn connection_for(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        key: ServerKey,
+    ) -> OpenOutcome {
+        self.close_rested(now, actions, key);
+        let Some(server) = self.servers.get_mut(&key) else {
+            return OpenOutcome::Wait;
+        };
+        if let Some(resting) = server.resting.pop() {
+            return OpenOutcome::Resting(resting.connection);
+        }
+        let wanted = server.waiting.len() as u32 + 1;
+        if server.opening < wanted {
+            self.open(now, actions, key);
+        }
+        OpenOutcome::Wait
+    }
+
+    /// Opens a connection where it is allowed.
+    fn open(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        key: ServerKey,
+    ) -> bool {
+        let Some(server) = self.servers.get(&key) else {
+            return false;
+        };
+        let limit = self.connection_limit(server.service);
+        if now < server.connect_after || server.open + server.opening >= limit {
+            return false;
+        }
+        self.next_connection += 1;
+        let connection = ConnectionId(self.next_connection);
+        let entry = Connection {
+            server: key,
+            opened: false,
+            attempt: None,
+        };
+        self.connections.insert(connection, entry);
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.opening += 1;
+            let address = server.address;
+            actions.push_back(GatewayAction::Open {
+                connection,
+                address,
+            });
+        }
+        true
+    }
+
+    /// Opens one connection to each server of the services that are kept warm.
+    pub(in crate::gateway) fn keep_warm(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+    ) {
+        let cold = |server: &Server| {
+            server.availability == Availability::Ready
+                && server.open + server.opening == 0
+                && server.connect_after <= now
+        };
+        let keys: Vec<ServerKey> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| self.kept_warm.contains(&server.service) && cold(server))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in keys {
+            self.open(now, actions, key);
+        }
+    }
+
+    /// A connection is open; gives the server, and what waits for it.
+    pub(in crate::gateway) fn opened(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+        took: Duration,
+    ) -> Option<ServerKey> {
+        let entry = self.connections.get_mut(&connection)?;
+        entry.opened = true;
+        let key = entry.server;
+        let idle = self.parameters.idle_time;
+        let server = self.servers.get_mut(&key)?;
+        server.opening = server.opening.saturating_sub(1);
+        server.open += 1;
+        server.observe_round_trip(took);
+        server.resting.push(Resting {
+            connection,
+            until: now + idle,
+        });
+        Some(key)
+    }
+
+    /// A connection is lost; gives the server, and whether it could not even be opened.
+    pub(in crate::gateway) fn lost(
+        &mut self,
+        now: Timestamp,
+        connection: ConnectionId,
+    ) -> Option<(ServerKey, bool)> {
+        let entry = self.connections.remove(&connection)?;
+        let pause = self.parameters.reconnect_pause;
+        let unreachable = self.parameters.unreachable_cost;
+        let server = self.servers.get_mut(&entry.server)?;
+        if entry.opened {
+            server.open = server.open.saturating_sub(1);
+            server
+                .resting
+                .retain(|resting| resting.connection != connection);
+        } else {
+            server.opening = server.opening.saturating_sub(1);
+            server.connect_after = now + pause;
+            server.failed(&self.parameters, now, unreachable);
+        }
+        Some((entry.server, !entry.opened))
+    }
+
+    /// The connection and server of an attempt.
+    pub(in crate::gateway) fn occupy(&mut self, connection: ConnectionId, attempt: AttemptId) {
+        if let Some(entry) = self.connections.get_mut(&connection) {
+            entry.attempt = Some(attempt);
+        }
+    }
+
+    /// An attempt ended and its connection may carry another.
+    pub(in crate::gateway) fn release(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        connection: ConnectionId,
+        keep_alive: Option<Duration>,
+    ) {
+        let Some(entry) = self.connections.get_mut(&connection) else {
+            return;
+        };
+        entry.attempt = None;
+        let key = entry.server;
+        let rest = keep_alive.map_or(self.parameters.idle_time, |time| {
+            time.mul_f64(KEEP_ALIVE_SHARE)
+        });
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        server.resting.push(Resting {
+            connection,
+            until: now + rest,
+        });
+        self.close_idle_if_leaving(actions, key);
+    }
+
+    /// Closes a connection and forgets it.
+    pub(in crate::gateway) fn close(
+        &mut self,
+        actions: &mut VecDeque<GatewayAction>,
+        connection: ConnectionId,
+    ) {
+        actions.push_back(GatewayAction::Close { connection });
+        self.forget_connection(connection);
+    }
+
+    /// A connection ended with its attempt.
+    pub(in crate::gateway) fn forget_connection(&mut self, connection: ConnectionId) {
+        let Some(entry) = self.connections.remove(&connection) else {
+            return;
+        };
+        if let Some(server) = self.servers.get_mut(&entry.server) {
+            if entry.opened {
+                server.open = server.open.saturating_sub(1);
+            } else {
+                server.opening = server.opening.saturating_sub(1);
+            }
+            server
+                .resting
+                .retain(|resting| resting.connection != connection);
+        }
+        self.forget_if_over(entry.server);
+    }
+
+    /// A server that gets nothing new needs no resting connection.
+    pub(super) fn close_idle_if_leaving(
+        &mut self,
+        actions: &mut VecDeque<GatewayAction>,
+        key: ServerKey,
+    ) {
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        if server.takes_requests() {
+            return;
+        }
+        for resting in std::mem::take(&mut server.resting) {
+            self.close(actions, resting.connection);
+        }
+    }
+
+    /// Closes connections that the server is about to close.
+    fn close_rested(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        key: ServerKey,
+    ) {
+        let Some(server) = self.servers.get(&key) else {
+            return;
+        };
+        let rested = server.resting.iter().filter(|resting| resting.until <= now);
+        let rested: Vec<ConnectionId> = rested.map(|resting| resting.connection).collect();
+        for connection in rested {
+            self.close(actions, connection);
+        }
+    }
+
+    /// The next part that waits for a connection of the server.
+    pub(in crate::gateway) fn next_waiting(&mut self, key: ServerKey) -> Option<Waiting> {
+        self.servers.get_mut(&key)?.waiting.pop_front()
+    }
+
+    /// Takes a part off the queue of a server.
+    pub(in crate::gateway) fn stop_waiting(&mut self, key: ServerKey, waiting: Waiting) {
+        if let Some(server) = self.servers.get_mut(&key) {
+            server.waiting.retain(|other| *other != waiting);
+        }
+    }
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -0,0 +1,276 @@
+//! The servers that are known, their connections, and the choice among them.
+//!
+//! Guards against slow, silent, failing and leaving servers: a server is chosen by the latency
+//! that is to be expected of it, and one that leaves gets nothing new on any path.
+
+mod choosing;
+mod connections;
+mod server;
+
+pub(super) use choosing::Choice;
+pub(super) use connections::{Connection, OpenOutcome};
+pub(super) use server::{Availability, Server, Waiting};
+
+use super::action::{GatewayAction, GatewayChange, ViewOrigin};
+use super::budget::ServiceKey;
+use super::parameters::ServerParameters;
+use crate::driver_action::ConnectionId;
+use crate::time::Timestamp;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use thornbridge_config::routes::RoutedService;
+use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
+use thornbridge_proto::{BackEndId, RegionName, ServiceName, ZoneName};
+
+/// Position of a server in the table; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(super) struct ServerKey(pub(super) u32);
+
+/// Where this node stands, and which zones are in which region.
+#[derive(Clone, Debug)]
+pub struct Placement {
+    /// Zone of this node.
+    pub zone: ZoneName,
+    /// Region of this node.
+    pub region: RegionName,
+    /// Region of each zone.
+    pub regions: BTreeMap<ZoneName, RegionName>,
+}
+
+#[derive(Debug, Default)]
+struct ServiceEntry {
+    servers: Vec<ServerKey>,
+    /// Connections that each server takes from all callers together, where it is known.
+    connections: Option<u32>,
+}
+
+/// All servers.
+#[derive(Debug)]
+pub(super) struct Servers {
+    pub(super) parameters: ServerParameters,
+    placement: Placement,
+    members: usize,
+    next_key: u32,
+    next_connection: u64,
+    servers: BTreeMap<ServerKey, Server>,
+    by_id: BTreeMap<BackEndId, ServerKey>,
+    service_names: BTreeMap<ServiceName, ServiceKey>,
+    services: Vec<ServiceEntry>,
+    connections: BTreeMap<ConnectionId, Connection>,
+    /// Services to whose servers a connection is kept open.
+    kept_warm: BTreeSet<ServiceKey>,
+}
+
+impl Servers {
+    pub(super) fn new(parameters: ServerParameters, placement: Placement) -> Self {
+        Self {
+            parameters,
+            placement,
+            members: 1,
+            next_key: 0,
+            next_connection: 0,
+            servers: BTreeMap::new(),
+            by_id: BTreeMap::new(),
+            service_names: BTreeMap::new(),
+            services: Vec::new(),
+            connections: BTreeMap::new(),
+            kept_warm: BTreeSet::new(),
+        }
+    }
+
+    /// Members, this node included, that share the servers' connections.
+    pub(super) fn set_members(&mut self, members: usize) {
+        self.members = members.max(1);
+    }
+
+    /// The position of a service.
+    pub(super) fn service(&mut self, name: &ServiceName) -> ServiceKey {
+        if let Some(key) = self.service_names.get(name) {
+            return *key;
+        }
+        let key = ServiceKey(self.services.len() as u32);
+        self.services.push(ServiceEntry::default());
+        self.service_names.insert(name.clone(), key);
+        key
+    }
+
+    /// Takes what a configuration says of services, and the services to keep connections to.
+    pub(super) fn configure(&mut self, services: &[RoutedService], warm: BTreeSet<ServiceKey>) {
+        for service in services {
+            let key = self.service(&service.name);
+            self.services[key.0 as usize].connections = Some(service.connections);
+        }
+        self.kept_warm = warm;
+    }
+
+    pub(super) fn get(&self, key: ServerKey) -> Option<&Server> {
+        self.servers.get(&key)
+    }
+
+    pub(super) fn get_mut(&mut self, key: ServerKey) -> Option<&mut Server> {
+        self.servers.get_mut(&key)
+    }
+
+    /// Servers of a service.
+    pub(super) fn of_service(&self, service: ServiceKey) -> impl Iterator<Item = &Server> {
+        let keys = &self.services[service.0 as usize].servers;
+        keys.iter().filter_map(|key| self.servers.get(key))
+    }
+
+    /// Whether a service has a server that takes requests.
+    pub(super) fn has_server(&self, service: ServiceKey) -> bool {
+        self.of_service(service).any(Server::takes_requests)
+    }
+
+    /// Whether a server of the service has an open connection.
+    pub(super) fn is_warm(&self, service: ServiceKey) -> bool {
+        self.of_service(service)
+            .any(|server| server.takes_requests() && server.open > 0)
+    }
+
+    /// Number of servers that take requests.
+    pub(super) fn taking_requests(&self) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|server| server.takes_requests()).count()
+    }
+
+    /// An instance is registered, or its entry changed.
+    pub(super) fn present(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        instance: &Instance,
+        revision: StoreRevision,
+        origin: ViewOrigin,
+    ) {
+        let availability = match instance.state {
+            InstanceState::Ready => Availability::Ready,
+            InstanceState::Draining => Availability::Draining,
+        };
+        let known = self.by_id.get(&instance.id).copied();
+        let key = known.unwrap_or_else(|| self.add(now, instance));
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        if known.is_some() && server.availability == availability {
+            return;
+        }
+        server.availability = availability;
+        actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
+            id: instance.id.clone(),
+            service: instance.service.to_string(),
+            state: availability.as_str(),
+            revision,
+            origin,
+        }));
+        self.close_idle_if_leaving(actions, key);
+    }
+
+    /// An instance's entry is gone.
+    pub(super) fn departed(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        id: &BackEndId,
+        revision: StoreRevision,
+        origin: ViewOrigin,
+    ) {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return;
+        };
+        let grace = self.parameters.vanished_grace;
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        server.availability = match server.availability {
+            Availability::Ready => Availability::Vanished { until: now + grace },
+            Availability::Vanished { .. } => return,
+            Availability::Draining | Availability::Gone => Availability::Gone,
+        };
+        let service = server.service_name.to_string();
+        let state = server.availability.as_str();
+        actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
+            id: id.clone(),
+            service,
+            state,
+            revision,
+            origin,
+        }));
+        self.close_idle_if_leaving(actions, key);
+        self.forget_if_over(key);
+    }
+
+    /// Servers that take nothing new, and for which something still waits.
+    pub(super) fn leaving_with_waiting(&self) -> Vec<ServerKey> {
+        let leaving = |server: &Server| !server.takes_requests() && !server.waiting.is_empty();
+        let servers = self.servers.iter();
+        let found = servers.filter(|(_, server)| leaving(server));
+        found.map(|(key, _)| *key).collect()
+    }
+
+    /// When [`Self::timer_due`] wants to be called.
+    pub(super) fn next_timeout(&self) -> Option<Timestamp> {
+        self.servers.values().filter_map(Server::vanishes_at).min()
+    }
+
+    /// Ends the grace of instances that did not register again.
+    pub(super) fn timer_due(&mut self, now: Timestamp, actions: &mut VecDeque<GatewayAction>) {
+        let over = |server: &Server| server.vanishes_at().is_some_and(|until| until <= now);
+        let ended: Vec<ServerKey> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| over(server))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in ended {
+            if let Some(server) = self.servers.get_mut(&key) {
+                server.availability = Availability::Gone;
+            }
+            self.close_idle_if_leaving(actions, key);
+            self.forget_if_over(key);
+        }
+    }
+
+    fn add(&mut self, now: Timestamp, instance: &Instance) -> ServerKey {
+        let service = self.service(&instance.service);
+        let key = ServerKey(self.next_key);
+        self.next_key += 1;
+        let distance = self.placement.distance_to(&instance.zone);
+        let server = Server::new(now, instance, service, distance);
+        self.servers.insert(key, server);
+        self.by_id.insert(instance.id.clone(), key);
+        self.services[service.0 as usize].servers.push(key);
+        key
+    }
+
+    /// Forgets a server that is gone once nothing of it is left.
+    pub(super) fn forget_if_over(&mut self, key: ServerKey) {
+        let Some(server) = self.servers.get(&key) else {
+            return;
+        };
+        let over = server.availability == Availability::Gone
+            && server.outstanding.is_empty()
+            && server.open + server.opening == 0
+            && server.waiting.is_empty();
+        if !over {
+            return;
+        }
+        let service = server.service;
+        self.by_id.remove(&server.id);
+        self.servers.remove(&key);
+        self.services[service.0 as usize]
+            .servers
+            .retain(|other| *other != key);
+    }
+}
+
+impl Placement {
+    fn distance_to(&self, zone: &ZoneName) -> server::Distance {
+        if *zone == self.zone {
+            return server::Distance::SameZone;
+        }
+        match self.regions.get(zone) {
+            Some(region) if *region == self.region => server::Distance::SameRegion,
+            _ => server::Distance::OtherRegion,
+        }
+    }
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -0,0 +1,1 @@
+//! Tests of the gateway.
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/views/mod.rs
@@ -0,0 +1,9 @@
+//! The two views that a gateway keeps: the route configuration and the registry of instances.
+//!
+//! Each is read from the store by a list and then watches ([`source`]), and compared with peers
+//! ([`peers`]), so that a node that the store refuses or cannot reach still learns every change.
+//! Guards against going back: a view is replaced only by a newer one.
+
+pub(super) mod peers;
+pub(super) mod registry;
+pub(super) mod source;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/views/source.rs
@@ -0,0 +1,228 @@
+//! Reading one view from the store: a list, then watches, one call at a time.
+//!
+//! Guards against a store that refuses, throttles, loses answers, forgets its history or falls
+//! silent: every read has a time limit, failures are followed by pauses that grow, and a history
+//! that is gone by a new list.
+
+use crate::gateway::action::{GatewayAction, GatewayChange, SourceRead};
+use crate::gateway::event::{SourceFailure, SourceReply, ViewKind, ViewObject};
+use crate::gateway::parameters::ViewParameters;
+use crate::time::Timestamp;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::VecDeque;
+use std::time::Duration;
+use thornbridge_proto::peer::view::StoreRevision;
+
+/// Failures in a row beyond which the pause does not grow.
+const MOST_DOUBLINGS: u32 = 8;
+
+/// What a reader does now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Doing {
+    /// Nothing until then.
+    Pausing(Timestamp),
+    /// Waits for a page of the list.
+    Listing(Timestamp),
+    /// Waits for changes.
+    Watching(Timestamp),
+}
+
+/// What a read brought.
+#[derive(Clone, Debug, PartialEq)]
+pub(in crate::gateway) enum SourceNews {
+    /// The whole view, as of a revision.
+    Whole(Vec<ViewObject>, StoreRevision),
+    /// Changes up to a revision.
+    Changes(Vec<ViewObject>, StoreRevision),
+}
+
+/// The reader of one view.
+#[derive(Debug)]
+pub(in crate::gateway) struct SourceReader {
+    kind: ViewKind,
+    parameters: ViewParameters,
+    doing: Doing,
+    read: u64,
+    /// Pages of a list that is not complete, and the revision of its first.
+    pages: Vec<ViewObject>,
+    first_page: Option<StoreRevision>,
+    after: Option<String>,
+    /// Revision to watch from; `None` where a list is needed.
+    at: Option<StoreRevision>,
+    failures: u32,
+    last_answer: Timestamp,
+    reachable: bool,
+}
+
+impl SourceReader {
+    pub(in crate::gateway) fn new(kind: ViewKind, parameters: ViewParameters) -> Self {
+        Self {
+            kind,
+            parameters,
+            doing: Doing::Pausing(Timestamp::ZERO),
+            read: 0,
+            pages: Vec::new(),
+            first_page: None,
+            after: None,
+            at: None,
+            failures: 0,
+            last_answer: Timestamp::ZERO,
+            reachable: true,
+        }
+    }
+
+    /// Time since the store last answered a read of this view.
+    pub(in crate::gateway) fn age(&self, now: Timestamp) -> Duration {
+        now.since(self.last_answer)
+    }
+
+    /// When [`Self::timer_due`] wants to be called.
+    pub(in crate::gateway) fn next_timeout(&self) -> Timestamp {
+        match self.doing {
+            Doing::Pausing(until) | Doing::Listing(until) | Doing::Watching(until) => until,
+        }
+    }
+
+    /// Starts the next read, or gives one up that took too long.
+    pub(in crate::gateway) fn timer_due(
+        &mut self,
+        now: Timestamp,
+        random: &mut Pcg64Mcg,
+        actions: &mut VecDeque<GatewayAction>,
+    ) {
+        match self.doing {
+            Doing::Pausing(until) if until <= now => self.start(now, actions),
+            Doing::Listing(until) | Doing::Watching(until) if until <= now => {
+                self.failed(now, random, actions, SourceFailure::Unreachable);
+            }
+            _ => {}
+        }
+    }
+
+    /// The store answered a read.
+    pub(in crate::gateway) fn replied(
+        &mut self,
+        now: Timestamp,
+        random: &mut Pcg64Mcg,
+        actions: &mut VecDeque<GatewayAction>,
+        read: u64,
+        result: Result<SourceReply, SourceFailure>,
+    ) -> Option<SourceNews> {
+        if read != self.read || matches!(self.doing, Doing::Pausing(_)) {
+            return None;
+        }
+        match result {
+            Ok(reply) => {
+                self.answered(now, actions);
+                let news = self.take(reply);
+                self.start(now, actions);
+                news
+            }
+            Err(SourceFailure::HistoryGone) => {
+                self.answered(now, actions);
+                self.at = None;
+                self.start(now, actions);
+                None
+            }
+            Err(failure) => {
+                self.failed(now, random, actions, failure);
+                None
+            }
+        }
+    }
+
+    fn take(&mut self, reply: SourceReply) -> Option<SourceNews> {
+        match reply {
+            SourceReply::Page { objects, next, at } => {
+                self.pages.extend(objects);
+                let first = *self.first_page.get_or_insert(at);
+                self.after = next;
+                if self.after.is_some() {
+                    return None;
+                }
+                self.at = Some(first);
+                self.first_page = None;
+                Some(SourceNews::Whole(std::mem::take(&mut self.pages), first))
+            }
+            SourceReply::Changes { objects, at } => {
+                let known = self.at.unwrap_or_default();
+                self.at = Some(at.max(known));
+                Some(SourceNews::Changes(objects, at))
+            }
+        }
+    }
+
+    fn start(&mut self, now: Timestamp, actions: &mut VecDeque<GatewayAction>) {
+        self.read += 1;
+        let (what, timeout) = match self.at {
+            Some(from) => {
+                let wait = self.parameters.watch_wait;
+                let timeout = wait + self.parameters.read_timeout;
+                self.doing = Doing::Watching(now + timeout);
+                (SourceRead::Watch { from, wait }, timeout)
+            }
+            None => {
+                let timeout = self.parameters.read_timeout;
+                self.doing = Doing::Listing(now + timeout);
+                let after = self.after.clone();
+                (SourceRead::List { after }, timeout)
+            }
+        };
+        actions.push_back(GatewayAction::Read {
+            kind: self.kind,
+            read: self.read,
+            what,
+            timeout,
+        });
+    }
+
+    fn answered(&mut self, now: Timestamp, actions: &mut VecDeque<GatewayAction>) {
+        if !self.reachable {
+            self.tell(now, actions, true, None);
+        }
+        self.reachable = true;
+        self.failures = 0;
+        self.last_answer = now;
+    }
+
+    fn failed(
+        &mut self,
+        now: Timestamp,
+        random: &mut Pcg64Mcg,
+        actions: &mut VecDeque<GatewayAction>,
+        failure: SourceFailure,
+    ) {
+        if self.reachable {
+            self.tell(now, actions, false, Some(failure));
+        }
+        self.reachable = false;
+        // A list begins anew; a watch goes on from where it was.
+        self.pages.clear();
+        self.first_page = None;
+        self.after = None;
+        let doublings = self.failures.min(MOST_DOUBLINGS);
+        self.failures += 1;
+        let pause = self.parameters.first_backoff * 2_u32.pow(doublings);
+        let pause = pause.min(self.parameters.longest_backoff);
+        let pause = pause.mul_f64(random.random_range(0.5..=1.0));
+        self.doing = Doing::Pausing(now + pause);
+    }
+
+    fn tell(
+        &self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        reachable: bool,
+        failure: Option<SourceFailure>,
+    ) {
+        let age = self.age(now);
+        let change = GatewayChange::Source {
+            kind: self.kind,
+            reachable,
+            failure,
+            age,
+        };
+        actions.push_back(GatewayAction::Changed(change));
+    }
+}
--- a/crates/thornbridge-core/src/lib.rs
+++ b/crates/thornbridge-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod counters;
 mod driver_action;
 mod event;
+pub mod gateway;
 mod gossip;
 pub mod health;
 pub mod lease;
--- a/crates/thornbridge-core/tests/members/cluster.rs
+++ b/crates/thornbridge-core/tests/members/cluster.rs
@@ -373,7 +373,7 @@
                 parts.membership.peer_message(context, from, message);
             }
             PeerMessage::Health(message) => parts.health.peer_message(context, from, message),
-            PeerMessage::Configuration(_) | PeerMessage::Action(_) => {}
+            PeerMessage::Configuration(_) | PeerMessage::Action(_) | PeerMessage::View(_) => {}
         });
     }
 
--- a/crates/thornbridge-node/src/back_ends/connection.rs
+++ b/crates/thornbridge-node/src/back_ends/connection.rs
@@ -4,6 +4,7 @@
 use super::request::{SharedParts, encode_attempt, host_of};
 use crate::input::{DriverEnded, Input, InputSender};
 use crate::sockets;
+use crate::transport::{Connection, Transport, drive};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -11,10 +12,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::HeaderValue;
 use hyper_util::rt::TokioIo;
-use std::future::Future;
 use std::net::SocketAddr;
-use std::pin::Pin;
-use std::task::Poll;
 use std::time::Duration;
 use thornbridge_core::{AttemptFailure, ConnectionId, Event};
 use thornbridge_proto::AttemptId;
@@ -40,8 +38,6 @@
     pub(crate) write_timeout: Duration,
 }
 
-type Connection = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
-
 /// Runs a connection until it is lost, or closed by dropping the other end of `jobs`.
 ///
 /// A connection on which an attempt failed is never used again. Each attempt gets exactly one
@@ -172,41 +168,3 @@
         _ => None,
     }
 }
-
-/// hyper's half of a connection: moves bytes while it is polled; ready when it is lost.
-enum Transport {
-    Open(Pin<Box<Connection>>),
-    Lost,
-}
-
-impl Future for Transport {
-    type Output = ();
-
-    fn poll(mut self: Pin<&mut Self>, context: &mut std::task::Context<'_>) -> Poll<()> {
-        let Self::Open(connection) = &mut *self else {
-            return Poll::Ready(());
-        };
-        match connection.as_mut().poll(context) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(_) => {
-                *self = Self::Lost;
-                Poll::Ready(())
-            }
-        }
-    }
-}
-
-/// Runs an exchange and the connection under it in one task, which saves the wakes between two.
-async fn drive<F: Future>(transport: &mut Transport, exchange: F) -> F::Output {
-    tokio::pin!(exchange);
-    std::future::poll_fn(|context| {
-        // First what it has to send, then the bytes either way, then what has come by them: a
-        // whole step in one poll. The exchange ends by itself when the transport is lost.
-        if let Poll::Ready(output) = exchange.as_mut().poll(context) {
-            return Poll::Ready(output);
-        }
-        let _ = Pin::new(&mut *transport).poll(context);
-        exchange.as_mut().poll(context)
-    })
-    .await
-}
--- a/crates/thornbridge-node/src/back_ends/mod.rs
+++ b/crates/thornbridge-node/src/back_ends/mod.rs
@@ -6,7 +6,7 @@
 
 mod connection;
 pub(crate) mod control;
-mod reply;
+pub(crate) mod reply;
 mod request;
 mod table;
 
--- a/crates/thornbridge-node/src/back_ends/reply.rs
+++ b/crates/thornbridge-node/src/back_ends/reply.rs
@@ -35,7 +35,7 @@
 }
 
 /// Reads a whole body of at most `limit` bytes, without a copy where it came in one piece.
-pub(super) async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, AttemptFailure> {
+pub(crate) async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, AttemptFailure> {
     if body.size_hint().lower() > limit as u64 {
         return Err(AttemptFailure::MalformedReply);
     }
--- /dev/null
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -0,0 +1,104 @@
+//! Lines of the log: one for each request, and one for each change of state.
+
+use std::fmt::Write;
+use thornbridge_core::gateway::{AttemptNote, GatewayChange, RequestNote};
+
+/// Attempts that one line names at most.
+const ATTEMPTS_NAMED: usize = 8;
+
+/// A request ended.
+pub(super) fn finished(note: &RequestNote) {
+    log::info!(
+        id = note.id.as_str(),
+        route = note.route.as_str(),
+        outcome = note.outcome,
+        version = note.version.0,
+        registry = note.registry.0,
+        took_ms = millis(note.took),
+        answer_by_ms = millis(note.objective),
+        parts = note.parts,
+        of = note.of,
+        attempts = note.attempts,
+        denied = note.denied,
+        notable = named(&note.notable).as_str();
+        "request"
+    );
+}
+
+fn named(attempts: &[AttemptNote]) -> String {
+    let mut text = String::new();
+    for attempt in attempts.iter().take(ATTEMPTS_NAMED) {
+        let _ = write!(
+            text,
+            "{} {}@{}:{}",
+            attempt.server,
+            attempt.cause.as_str(),
+            millis(attempt.sent_after),
+            attempt.outcome.as_str()
+        );
+        if let Some(took) = attempt.took {
+            let _ = write!(text, "+{}", millis(took));
+        }
+        text.push(';');
+    }
+    if attempts.len() > ATTEMPTS_NAMED {
+        let _ = write!(text, "and {} more", attempts.len() - ATTEMPTS_NAMED);
+    }
+    text
+}
+
+/// A state changed.
+pub(super) fn changed(change: &GatewayChange) {
+    match change {
+        GatewayChange::ConfigurationInForce {
+            version,
+            replaced,
+            origin,
+            staged_for,
+        } => log::info!(
+            version = version.0,
+            replaced = replaced.0,
+            origin = origin.as_str(),
+            staged_ms = millis(*staged_for);
+            "configuration in force"
+        ),
+        GatewayChange::ObjectRefused { name, reason } => {
+            log::warn!(name = name.as_str(), reason = reason.as_str(); "object refused");
+        }
+        GatewayChange::Instance {
+            id,
+            service,
+            state,
+            revision,
+            origin,
+        } => log::info!(
+            id = id.as_str(),
+            service = service.as_str(),
+            state = *state,
+            revision = revision.0,
+            origin = origin.as_str();
+            "instance"
+        ),
+        GatewayChange::Source {
+            kind,
+            reachable,
+            failure,
+            age,
+        } => log::info!(
+            view:? = kind,
+            reachable = *reachable,
+            failure:? = failure,
+            age_ms = millis(*age);
+            "store"
+        ),
+        GatewayChange::Trust { id, avoided, cause } => {
+            log::info!(id = id.as_str(), avoided = *avoided, cause = *cause; "server trust");
+        }
+        GatewayChange::Members { members } => log::info!(members = *members; "members"),
+        GatewayChange::Lifecycle { state } => log::info!(state = *state; "node"),
+    }
+}
+
+fn millis(time: std::time::Duration) -> u64 {
+    time.as_millis() as u64
+}
--- /dev/null
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -0,0 +1,193 @@
+//! Counters and latency histograms of a gateway, in the Prometheus text format.
+
+use prometheus_client::encoding::{EncodeLabelSet, text};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+use std::fmt;
+use thornbridge_core::gateway::{AttemptNote, GatewayChange, RequestNote};
+
+/// Shortest latency that has a bucket, in seconds.
+const SHORTEST_SECONDS: f64 = 0.001;
+/// Ratio of neighbouring buckets.
+const RATIO: f64 = 1.5;
+/// Buckets; the longest ends at about 33 s.
+const BUCKETS: u16 = 26;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    route: String,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteLabels {
+    route: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct AttemptLabels {
+    cause: String,
+    outcome: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ChangeLabels {
+    change: String,
+}
+
+/// Gauges that are read when a scrape asks.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Standing {
+    pub(super) members: usize,
+    pub(super) instances: usize,
+    pub(super) version: u64,
+    pub(super) in_flight: usize,
+    pub(super) connections: usize,
+    pub(super) ready: bool,
+}
+
+/// All metrics of a gateway.
+pub(super) struct GatewayMetrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    request_seconds: Family<RouteLabels, Histogram, fn() -> Histogram>,
+    attempts: Counter,
+    notable_attempts: Family<AttemptLabels, Counter>,
+    denied: Counter,
+    missing_parts: Counter,
+    changes: Family<ChangeLabels, Counter>,
+    members: Gauge,
+    instances: Gauge,
+    version: Gauge,
+    in_flight: Gauge,
+    connections: Gauge,
+    ready: Gauge,
+    pub(super) log_lines_dropped: Counter,
+}
+
+impl fmt::Debug for GatewayMetrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("GatewayMetrics")
+    }
+}
+
+fn latency_histogram() -> Histogram {
+    Histogram::new(exponential_buckets(SHORTEST_SECONDS, RATIO, BUCKETS))
+}
+
+impl GatewayMetrics {
+    pub(super) fn new() -> Self {
+        let mut metrics = Self {
+            registry: Registry::with_prefix("thornbridge_gateway"),
+            requests: Family::default(),
+            request_seconds: Family::new_with_constructor(latency_histogram),
+            attempts: Counter::default(),
+            notable_attempts: Family::default(),
+            denied: Counter::default(),
+            missing_parts: Counter::default(),
+            changes: Family::default(),
+            members: Gauge::default(),
+            instances: Gauge::default(),
+            version: Gauge::default(),
+            in_flight: Gauge::default(),
+            connections: Gauge::default(),
+            ready: Gauge::default(),
+            log_lines_dropped: Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let registry = &mut self.registry;
+        let requests = "Requests ended, by route and outcome";
+        registry.register("requests", requests, self.requests.clone());
+        let seconds = "Time from a request's arrival to its answer";
+        registry.register("request_seconds", seconds, self.request_seconds.clone());
+        registry.register("attempts", "Attempts sent", self.attempts.clone());
+        let notable = "Attempts that were not a first one that was answered";
+        registry.register("notable_attempts", notable, self.notable_attempts.clone());
+        let denied = "Extra attempts that the budget did not allow";
+        registry.register("extra_denied", denied, self.denied.clone());
+        let missing = "Parts that answers left out";
+        registry.register("missing_parts", missing, self.missing_parts.clone());
+        let changes = "Changes of state, by kind";
+        registry.register("changes", changes, self.changes.clone());
+        let dropped = "Lines that the log had no room for";
+        registry.register("log_lines_dropped", dropped, self.log_lines_dropped.clone());
+        let members = "Members that share the budgets";
+        registry.register("members", members, self.members.clone());
+        registry.register("instances", "Registered instances", self.instances.clone());
+        let version = "Version of the configuration in force";
+        registry.register("configuration_version", version, self.version.clone());
+        let in_flight = "Requests without an answer yet";
+        registry.register("requests_in_flight", in_flight, self.in_flight.clone());
+        let connections = "Connections to servers, open or opening";
+        registry.register("server_connections", connections, self.connections.clone());
+        registry.register("ready", "1 where callers are wanted", self.ready.clone());
+    }
+
+    /// A request ended.
+    pub(super) fn finished(&self, note: &RequestNote) {
+        let labels = RequestLabels {
+            route: note.route.clone(),
+            outcome: note.outcome.to_owned(),
+        };
+        self.requests.get_or_create(&labels).inc();
+        let route = RouteLabels {
+            route: note.route.clone(),
+        };
+        let seconds = note.took.as_secs_f64();
+        self.request_seconds.get_or_create(&route).observe(seconds);
+        self.attempts.inc_by(note.attempts as u64);
+        self.denied.inc_by(note.denied as u64);
+        self.missing_parts.inc_by((note.of - note.parts) as u64);
+        for attempt in &note.notable {
+            self.attempt(attempt);
+        }
+    }
+
+    fn attempt(&self, attempt: &AttemptNote) {
+        let labels = AttemptLabels {
+            cause: attempt.cause.as_str().to_owned(),
+            outcome: attempt.outcome.as_str().to_owned(),
+        };
+        self.notable_attempts.get_or_create(&labels).inc();
+    }
+
+    /// A state changed.
+    pub(super) fn changed(&self, change: &GatewayChange) {
+        let change = match change {
+            GatewayChange::ConfigurationInForce { .. } => "configuration_in_force",
+            GatewayChange::ObjectRefused { .. } => "object_refused",
+            GatewayChange::Instance { state, .. } => state,
+            GatewayChange::Source {
+                reachable: true, ..
+            } => "store_reachable",
+            GatewayChange::Source { .. } => "store_unreachable",
+            GatewayChange::Trust { avoided: true, .. } => "server_avoided",
+            GatewayChange::Trust { .. } => "server_trusted",
+            GatewayChange::Members { .. } => "members",
+            GatewayChange::Lifecycle { state } => state,
+        };
+        let change = change.to_owned();
+        self.changes.get_or_create(&ChangeLabels { change }).inc();
+    }
+
+    /// Everything, as text.
+    pub(super) fn encode(&self, standing: &Standing) -> String {
+        self.members.set(standing.members as i64);
+        self.instances.set(standing.instances as i64);
+        self.version.set(standing.version as i64);
+        self.in_flight.set(standing.in_flight as i64);
+        self.connections.set(standing.connections as i64);
+        self.ready.set(i64::from(standing.ready));
+        let mut encoded = String::new();
+        // Writing to a string cannot fail.
+        let _ = text::encode(&mut encoded, &self.registry);
+        encoded
+    }
+}
--- /dev/null
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -0,0 +1,25 @@
+//! The gateway's process: HTTP callers, servers, store and peers around
+//! [`thornbridge_core::gateway::Gateway`].
+//!
+//! One driver task owns the core. Everything runs on one thread: a node has a fraction of a
+//! processor, and threads would only take turns. What a particular platform calls its headers
+//! and objects is told by the adapter that composes the process ([`WireNames`],
+//! [`StoreProtocol`]).
+
+mod activity;
+mod callers;
+mod connection;
+mod driver;
+mod headers;
+mod log_lines;
+mod metrics;
+mod pages;
+mod process;
+mod server_reply;
+mod settings;
+mod store;
+
+pub use headers::WireNames;
+pub use process::{GatewayError, run_gateway};
+pub use settings::{GatewaySettings, ReadSettings};
+pub use store::StoreProtocol;
--- /dev/null
+++ b/crates/thornbridge-node/src/gateway/pages.rs
@@ -0,0 +1,47 @@
+//! Two small pages: readiness, and metrics as text.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Response, StatusCode};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// Pause after an accept that failed.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+/// Time for a request's head, and for a connection to rest.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// What a page says now.
+pub(super) type Page = Arc<dyn Fn() -> (StatusCode, String) + Send + Sync>;
+
+/// Serves one page at every path, until the process ends.
+pub(super) async fn serve(listener: TcpListener, page: Page) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_RETRY).await;
+            continue;
+        };
+        let page = Arc::clone(&page);
+        let service = service_fn(move |_| {
+            let (status, text) = page();
+            async move {
+                let mut response = Response::new(Full::new(Bytes::from(text)));
+                *response.status_mut() = status;
+                Ok::<_, Infallible>(response)
+            }
+        });
+        tokio::spawn(async move {
+            let connection = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service);
+            // Whoever asks and leaves has its reasons.
+            let _ = connection.await;
+        });
+    }
+}
--- a/crates/thornbridge-node/src/lib.rs
+++ b/crates/thornbridge-node/src/lib.rs
@@ -13,6 +13,7 @@
 mod clock;
 mod driver;
 mod error;
+pub mod gateway;
 mod input;
 mod logging;
 mod metrics;
@@ -24,6 +25,7 @@
 mod server;
 mod settings;
 mod sockets;
+mod transport;
 
 pub use error::NodeError;
 pub use peers::PeerParameters;
--- a/crates/thornbridge-proto/src/peer/mod.rs
+++ b/crates/thornbridge-proto/src/peer/mod.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod health;
 pub mod membership;
+pub mod view;
 
 #[cfg(test)]
 mod tests;
@@ -39,4 +40,7 @@
     /// Actions on their way to their owner, and outcomes.
     #[serde(rename = "a")]
     Action(action::ActionMessage),
+    /// Replicated views: route configuration and registry of instances.
+    #[serde(rename = "v")]
+    View(view::ViewMessage),
 }
--- /dev/null
+++ b/crates/thornbridge-proto/src/peer/view.rs
@@ -0,0 +1,90 @@
+//! Replicated views: the route configuration and the registry of server instances, each at a
+//! revision.
+//!
+//! Every node reads both from the platform's store. Beside that, nodes compare revisions and pull
+//! what they lack, so that one that the store refuses still learns every change. A node never
+//! replaces a view by an older one.
+
+use crate::{BackEndId, ServiceName, ZoneName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Revision of the platform's store; rises with every change of any object.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StoreRevision(pub u64);
+
+/// What an instance says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum InstanceState {
+    /// Takes requests.
+    Ready,
+    /// Will end soon: takes nothing new.
+    Draining,
+}
+
+/// One run of a server, as it registered itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Identity of this run; never used again.
+    pub id: BackEndId,
+    /// Service that it serves.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it takes requests.
+    pub state: InstanceState,
+    /// Milliseconds that it stays slow, counted from its start.
+    pub cold_milliseconds: u32,
+}
+
+/// The revisions that a node has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ViewDigest {
+    /// Version of the route configuration; 0 where none is known.
+    pub configuration: u64,
+    /// Revision up to which the registry is known; 0 where it is not.
+    pub registry: StoreRevision,
+}
+
+/// Registry entries that changed after a revision.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RegistryDelta {
+    /// The receiver must know everything up to here; `None` for the whole registry.
+    pub since: Option<StoreRevision>,
+    /// Everything is known up to here once the delta is taken.
+    pub upto: StoreRevision,
+    /// Instances added or changed, with the revision of the change.
+    pub present: Vec<(StoreRevision, Instance)>,
+    /// Instances that went away, with the revision of that.
+    pub departed: Vec<(StoreRevision, BackEndId)>,
+}
+
+/// Messages about views.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum ViewMessage {
+    /// What the sender has. Whoever has less answers with [`Self::Pull`]; whoever has more
+    /// answers with its own digest.
+    #[serde(rename = "d")]
+    Digest(ViewDigest),
+    /// The sender has this and wants what is newer.
+    #[serde(rename = "p")]
+    Pull(ViewDigest),
+    /// A whole route configuration, as `rmp-serde` of `thornbridge_config::routes`.
+    #[serde(rename = "c")]
+    Configuration {
+        /// Its version.
+        version: u64,
+        /// Encoded configuration.
+        encoded: Vec<u8>,
+    },
+    /// Registry entries.
+    #[serde(rename = "r")]
+    Registry(RegistryDelta),
+}
--- a/crates/thornbridge/src/command_line.rs
+++ b/crates/thornbridge/src/command_line.rs
@@ -1,8 +1,8 @@
 //! The command line: every command, its flags and its help.
 
 use crate::commands::{
-    action, approve, bundle, demo, drain, key, load, node, query, rehearse, rollout, stand_in,
-    status,
+    action, approve, bundle, demo, drain, gateway, key, load, node, query, rehearse, rollout,
+    stand_in, status,
 };
 use crate::output::Format;
 use bpaf::Bpaf;
@@ -30,6 +30,8 @@
     Demo(#[bpaf(external(demo::demo))] demo::Demo),
     /// Run a node
     Node(#[bpaf(external(node::node))] node::Node),
+    /// Run a gateway
+    Gateway(#[bpaf(external(gateway::gateway))] gateway::Gateway),
     /// Run a stand-in for what surrounds nodes, over real sockets
     #[bpaf(command("stand-in"))]
     StandIn(#[bpaf(external(stand_in::stand_in))] stand_in::StandIn),
--- a/crates/thornbridge/src/commands/mod.rs
+++ b/crates/thornbridge/src/commands/mod.rs
@@ -5,6 +5,7 @@
 pub mod bundle;
 pub mod demo;
 pub mod drain;
+pub mod gateway;
 pub mod key;
 pub mod load;
 pub mod node;
@@ -21,6 +22,7 @@
 pub async fn run(command: Command) -> Result<(), CommandError> {
     match command {
         Command::Node(node) => node.run().await,
+        Command::Gateway(gateway) => gateway.run().await,
         Command::Bundle(bundle) => bundle.run().await,
         Command::Key(key) => key.run(),
         Command::Approve(approve) => approve.run().await,
--- a/crates/thornbridge/src/error.rs
+++ b/crates/thornbridge/src/error.rs
@@ -51,6 +51,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// The gateway cannot run.
+    #[snafu(display("{source}"), context(false))]
+    Gateway {
+        /// Cause, with the step and the peer.
+        source: thornbridge_platform::PlatformError,
+    },
     /// A file of the operator's cannot be used.
     #[snafu(display("{source}"), context(false))]
     File {
--- a/crates/thornbridge/src/main.rs
+++ b/crates/thornbridge/src/main.rs
@@ -14,7 +14,7 @@
 mod output;
 
 use bpaf::{Args, ParseFailure};
-use command_line::{CommandLine, command_line};
+use command_line::{Command, CommandLine, command_line};
 use error::{CommandError, ExitStatus};
 use std::process::ExitCode;
 
@@ -26,10 +26,11 @@
         Ok(command_line) => command_line,
         Err(failure) => return show_parse_failure(failure),
     };
-    logging::start(
-        command_line.log_format,
-        command_line.command.default_log_level(),
-    );
+    let level = command_line.command.default_log_level();
+    match command_line.command {
+        Command::Gateway(_) => logging::start_on_standard_output(level),
+        _ => logging::start(command_line.log_format, level),
+    }
     match run(command_line) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -51,7 +52,12 @@
 }
 
 fn run(command_line: CommandLine) -> Result<(), CommandError> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
+    let mut builder = match command_line.command {
+        // A gateway has a fraction of one processor: more threads would only take turns.
+        Command::Gateway(_) => tokio::runtime::Builder::new_current_thread(),
+        _ => tokio::runtime::Builder::new_multi_thread(),
+    };
+    let runtime = builder
         .enable_all()
         .build()
         .map_err(|source| CommandError::Runtime { source })?;
