--- /dev/null
+++ b/crates/thornbridge-rehearsal/src/gateway/network.rs
@@ -0,0 +1,26 @@
+//! Delays, and who can reach whom.
+
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
+use std::time::Duration;
+
+/// One way within a zone.
+const WITHIN_ZONE: Duration = Duration::from_micros(200);
+/// One way between zones.
+const BETWEEN_ZONES: Duration = Duration::from_micros(900);
+/// One way between callers and nodes.
+pub(super) const CALLER_WAY: Duration = Duration::from_millis(3);
+/// Time that the store takes.
+pub(super) const STORE_TIME: Duration = Duration::from_millis(4);
+/// Part of a delay that varies.
+const JITTER: f64 = 0.2;
+
+/// One way between two zones.
+pub(super) fn way(random: &mut Pcg64Mcg, from: usize, to: usize) -> Duration {
+    let way = if from == to {
+        WITHIN_ZONE
+    } else {
+        BETWEEN_ZONES
+    };
+    way.mul_f64(1.0 + random.random_range(0.0..JITTER))
+}
--- /dev/null
+++ b/crates/thornbridge-rehearsal/src/gateway/scenario.rs
@@ -0,0 +1,172 @@
+//! What a run is made of.
+
+use super::fault::TimedFault;
+use std::time::Duration;
+use thornbridge_config::routes::{
+    CallerLimits, GatherTarget, Repeatability, Route, RouteConfiguration, RouteTarget,
+    RouteVersion, RoutedService,
+};
+use thornbridge_core::gateway::GatewayParameters;
+use thornbridge_proto::ServiceName;
+
+/// The load of one route.
+#[derive(Clone, Debug)]
+pub struct RouteLoad {
+    /// Path prefix of the route.
+    pub prefix: String,
+    /// Requests a second.
+    pub rate: f64,
+    /// Mean work at a server.
+    pub work: Duration,
+    /// Time that callers wait.
+    pub patience: Duration,
+}
+
+/// What a run is made of.
+#[derive(Clone, Debug)]
+pub struct GatewayScenario {
+    /// Seed of every random draw.
+    pub seed: u64,
+    /// Gateways in each zone, all in one region.
+    pub nodes: Vec<u32>,
+    /// Shards of the gather.
+    pub shards: u32,
+    /// Servers of each shard; they stand in the zones in turn.
+    pub replicas: u32,
+    /// Slots of a server.
+    pub slots: u32,
+    /// Connections that a server takes.
+    pub connections: u32,
+    /// Length of a server's pause, and the time between two.
+    pub pause: (Duration, Duration),
+    /// Servers of the plain service.
+    pub plain_servers: u32,
+    /// Load.
+    pub loads: Vec<RouteLoad>,
+    /// Whether the plain route's requests may be repeated.
+    pub plain_repeatable: bool,
+    /// Extra attempts for each request, and beside those in 10 s.
+    pub budget: (f64, f64),
+    /// Time to drain.
+    pub drain: Duration,
+    /// Time for a configuration to be in force.
+    pub apply: Duration,
+    /// Time that callers come for, after two seconds for the start.
+    pub length: Duration,
+    /// Faults, by time since the first caller.
+    pub faults: Vec<TimedFault>,
+    /// Tunable values of the gateways.
+    pub parameters: GatewayParameters,
+}
+
+/// Host of every route.
+pub(super) const HOST: &str = "search.example";
+/// Prefix of the gather.
+pub(super) const GATHER_PREFIX: &str = "/all/";
+/// Prefix of the plain route.
+pub(super) const PLAIN_PREFIX: &str = "/one/";
+/// Time limit of the gather's requests.
+const GATHER_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time limit of plain requests.
+const PLAIN_LIMIT: Duration = Duration::from_millis(6_000);
+
+impl GatewayScenario {
+    /// Eight nodes in three zones over 20 shards of two servers that pause, and a plain service.
+    pub fn small_teams(seed: u64) -> Self {
+        let mut parameters = GatewayParameters::default();
+        parameters.budget.ratio = 0.2;
+        parameters.budget.slack = 56.0;
+        Self {
+            seed,
+            nodes: vec![3, 3, 2],
+            shards: 20,
+            replicas: 2,
+            slots: 2,
+            connections: 26,
+            pause: (Duration::from_millis(120), Duration::from_secs(3)),
+            plain_servers: 5,
+            loads: vec![
+                RouteLoad {
+                    prefix: GATHER_PREFIX.to_owned(),
+                    rate: 60.0,
+                    work: Duration::from_millis(9),
+                    patience: Duration::from_millis(1_500),
+                },
+                RouteLoad {
+                    prefix: PLAIN_PREFIX.to_owned(),
+                    rate: 20.0,
+                    work: Duration::from_millis(90),
+                    patience: Duration::from_millis(6_000),
+                },
+            ],
+            plain_repeatable: true,
+            budget: (0.2, 56.0),
+            drain: Duration::from_secs(3),
+            apply: Duration::from_secs(3),
+            length: Duration::from_secs(20),
+            faults: Vec::new(),
+            parameters,
+        }
+    }
+
+    /// The same with these faults.
+    pub fn with_faults(mut self, faults: Vec<TimedFault>) -> Self {
+        self.faults = faults;
+        self
+    }
+
+    /// The configuration of a version whose gather is over this generation of shards.
+    pub(super) fn configuration(&self, version: u64, generation: u32) -> RouteConfiguration {
+        let shards: Vec<ServiceName> = (0..self.shards)
+            .map(|shard| shard_service(generation, shard))
+            .collect();
+        let plain = ServiceName::new("plain");
+        let services = shards.iter().chain([&plain]);
+        let services = services.map(|name| RoutedService {
+            name: name.clone(),
+            connections: self.connections,
+        });
+        let repeatability = match self.plain_repeatable {
+            true => Repeatability::Repeatable,
+            false => Repeatability::AtMostOnce,
+        };
+        RouteConfiguration {
+            version: RouteVersion(version),
+            services: services.collect(),
+            routes: vec![
+                Route {
+                    name: "gather".to_owned(),
+                    host: HOST.to_owned(),
+                    path_prefix: GATHER_PREFIX.to_owned(),
+                    target: RouteTarget::Gather(GatherTarget {
+                        shards,
+                        records: 50,
+                        least_share: 0.89,
+                    }),
+                    repeatability: Repeatability::Repeatable,
+                    time_limit: GATHER_LIMIT,
+                    latency_objective: Duration::from_millis(100),
+                    priority: 1,
+                    attempts: 2,
+                },
+                Route {
+                    name: "plain".to_owned(),
+                    host: HOST.to_owned(),
+                    path_prefix: PLAIN_PREFIX.to_owned(),
+                    target: RouteTarget::Service(plain),
+                    repeatability,
+                    time_limit: PLAIN_LIMIT,
+                    latency_objective: Duration::from_millis(400),
+                    priority: 2,
+                    attempts: 2,
+                },
+            ],
+            limits: CallerLimits::default(),
+        }
+    }
+}
+
+/// Name of the service of a shard.
+pub(super) fn shard_service(generation: u32, shard: u32) -> ServiceName {
+    ServiceName::new(format!("shard-{generation}-{shard}"))
+}
--- /dev/null
+++ b/crates/thornbridge-rehearsal/src/gateway/store.rs
@@ -0,0 +1,183 @@
+//! A model of the platform's store: objects with revisions, lists, watches, and its faults.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+use thornbridge_config::routes::RouteConfiguration;
+use thornbridge_core::Timestamp;
+use thornbridge_core::gateway::{SourceFailure, SourceReply, ViewKind, ViewObject};
+use thornbridge_proto::BackEndId;
+use thornbridge_proto::peer::view::{Instance, StoreRevision};
+
+/// Objects on one page of a list.
+const PAGE: usize = 25;
+
+/// What an event was.
+#[derive(Clone, Debug)]
+struct Event {
+    revision: StoreRevision,
+    kind: ViewKind,
+    object: ViewObject,
+}
+
+/// How the store answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum StoreCondition {
+    Up,
+    Refusing,
+    Silent,
+}
+
+/// The store.
+#[derive(Debug)]
+pub(super) struct Store {
+    pub(super) condition: StoreCondition,
+    /// Watches hear nothing until then.
+    pub(super) mute_until: Timestamp,
+    /// Share of answers that are lost.
+    pub(super) lost_share: f64,
+    revision: u64,
+    configuration: Option<(StoreRevision, RouteConfiguration)>,
+    servers: BTreeMap<BackEndId, (StoreRevision, Instance)>,
+    events: Vec<Event>,
+    /// History at or before this revision is gone.
+    floor: u64,
+}
+
+impl Store {
+    pub(super) fn new() -> Self {
+        Self {
+            condition: StoreCondition::Up,
+            mute_until: Timestamp::ZERO,
+            lost_share: 0.0,
+            revision: 100,
+            configuration: None,
+            servers: BTreeMap::new(),
+            events: Vec::new(),
+            floor: 0,
+        }
+    }
+
+    pub(super) fn put_configuration(&mut self, configuration: RouteConfiguration) {
+        let revision = self.next();
+        self.configuration = Some((revision, configuration.clone()));
+        let object = ViewObject::Configuration(configuration);
+        self.record(revision, ViewKind::Configuration, object);
+    }
+
+    pub(super) fn put_server(&mut self, instance: Instance) {
+        let unchanged = self.servers.get(&instance.id);
+        if unchanged.is_some_and(|(_, known)| *known == instance) {
+            return;
+        }
+        let revision = self.next();
+        self.servers
+            .insert(instance.id.clone(), (revision, instance.clone()));
+        let object = ViewObject::Instance(revision, instance);
+        self.record(revision, ViewKind::Registry, object);
+    }
+
+    pub(super) fn remove_server(&mut self, id: &BackEndId) {
+        if self.servers.remove(id).is_none() {
+            return;
+        }
+        let revision = self.next();
+        let object = ViewObject::Departed(revision, id.clone());
+        self.record(revision, ViewKind::Registry, object);
+    }
+
+    /// All entries of servers are lost.
+    pub(super) fn lapse(&mut self) {
+        let ids: Vec<BackEndId> = self.servers.keys().cloned().collect();
+        for id in ids {
+            self.remove_server(&id);
+        }
+    }
+
+    pub(super) fn forget_history(&mut self) {
+        self.floor = self.revision;
+        self.events.clear();
+    }
+
+    pub(super) fn list(&self, kind: ViewKind, after: Option<&str>) -> SourceReply {
+        let at = StoreRevision(self.revision);
+        if kind == ViewKind::Configuration {
+            let objects = self.configuration.iter();
+            let objects = objects
+                .map(|(_, configuration)| ViewObject::Configuration(configuration.clone()))
+                .collect();
+            return SourceReply::Page {
+                objects,
+                next: None,
+                at,
+            };
+        }
+        let after = after.unwrap_or_default();
+        let rest: Vec<_> = self
+            .servers
+            .iter()
+            .filter(|(id, _)| id.as_str() > after)
+            .collect();
+        let page = rest.iter().take(PAGE);
+        let objects = page
+            .clone()
+            .map(|(_, (revision, instance))| ViewObject::Instance(*revision, instance.clone()))
+            .collect();
+        let last = page.last().map(|(id, _)| id.as_str().to_owned());
+        SourceReply::Page {
+            objects,
+            next: last.filter(|_| rest.len() > PAGE),
+            at,
+        }
+    }
+
+    /// Changes after a revision; `None` where there are none yet.
+    pub(super) fn changes(
+        &self,
+        now: Timestamp,
+        kind: ViewKind,
+        from: StoreRevision,
+    ) -> Option<Result<SourceReply, SourceFailure>> {
+        if now < self.mute_until {
+            return None;
+        }
+        if from.0 < self.floor {
+            return Some(Err(SourceFailure::HistoryGone));
+        }
+        let objects: Vec<ViewObject> = self
+            .events
+            .iter()
+            .filter(|event| event.kind == kind && event.revision > from)
+            .map(|event| event.object.clone())
+            .collect();
+        if objects.is_empty() {
+            return None;
+        }
+        let at = StoreRevision(self.revision);
+        Some(Ok(SourceReply::Changes { objects, at }))
+    }
+
+    /// The end of a wait without a change.
+    pub(super) fn nothing(&self) -> SourceReply {
+        SourceReply::Changes {
+            objects: Vec::new(),
+            at: StoreRevision(self.revision),
+        }
+    }
+
+    pub(super) fn mute(&mut self, now: Timestamp, lasts: Duration) {
+        self.mute_until = now + lasts;
+    }
+
+    fn next(&mut self) -> StoreRevision {
+        self.revision += 1;
+        StoreRevision(self.revision)
+    }
+
+    fn record(&mut self, revision: StoreRevision, kind: ViewKind, object: ViewObject) {
+        self.events.push(Event {
+            revision,
+            kind,
+            object,
+        });
+    }
+}
--- /dev/null
+++ b/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
@@ -0,0 +1,262 @@
+//! Faults at work.
+
+use super::{Occurrence, World};
+use crate::gateway::fault::GatewayFault;
+use crate::gateway::server::Condition;
+use crate::gateway::store::StoreCondition;
+use std::time::Duration;
+use thornbridge_core::gateway::{ExchangeFailure, GatewayEvent, SourceFailure};
+
+/// Time from the start of new shards to the version that names them.
+const REPARTITION_AFTER: Duration = Duration::from_millis(3_200);
+/// Time that a leaving server still serves beyond its time to drain.
+const STAYS_LONGER: Duration = Duration::from_millis(500);
+
+/// A later step of a fault.
+#[derive(Clone, Debug)]
+pub(super) enum FaultStep {
+    StoreUp { lapse: bool },
+    StoreMuteEnds,
+    AnswersKept,
+    NameShards,
+    OldShardsLeave,
+    Leave { server: usize, silent: bool },
+    EndServer(usize),
+    CrashedReturns(usize),
+    NotSlow(Vec<usize>),
+    AnswersArrive,
+    AnswersSound,
+    StartAgain(usize),
+    RemoveEntry(usize),
+}
+
+impl World {
+    pub(super) fn begin_fault(&mut self, index: usize) {
+        let fault = self.scenario.faults[index].fault.clone();
+        self.last_fault = self.last_fault.max(self.now);
+        match fault {
+            GatewayFault::StoreDown {
+                lasts,
+                silent,
+                lapse,
+            } => {
+                self.store.condition = match silent {
+                    true => StoreCondition::Silent,
+                    false => StoreCondition::Refusing,
+                };
+                self.store_disturbed(lasts);
+                if !silent {
+                    self.cut_watches();
+                }
+                self.later(lasts, FaultStep::StoreUp { lapse });
+            }
+            GatewayFault::StoreRefuses { node, lasts } => {
+                self.machines[node].refused_until = self.now + lasts;
+            }
+            GatewayFault::HistoryGone { mute } => {
+                self.store.mute(self.now, mute);
+                self.store_disturbed(mute);
+                self.later(mute, FaultStep::StoreMuteEnds);
+            }
+            GatewayFault::AnswersLost { share, lasts } => {
+                self.store.lost_share = share;
+                self.store_disturbed(lasts);
+                self.later(lasts, FaultStep::AnswersKept);
+            }
+            GatewayFault::NewVersion => self.put_version(self.generation),
+            GatewayFault::Repartition => {
+                self.start_shards(self.generation + 1);
+                self.later(REPARTITION_AFTER, FaultStep::NameShards);
+            }
+            GatewayFault::Replace { server, silent } => self.replace(server, silent),
+            GatewayFault::Crash {
+                server,
+                lasts,
+                dark,
+            } => self.crash(server, lasts, dark),
+            GatewayFault::Slow {
+                every,
+                factor,
+                lasts,
+            } => self.slow(every, factor, lasts),
+            GatewayFault::ServersLoseAnswers { share, lasts } => {
+                self.answers_lost_share = share;
+                self.later(lasts, FaultStep::AnswersArrive);
+            }
+            GatewayFault::SpoiltAnswers { share, lasts } => {
+                self.spoilt_share = share;
+                self.later(lasts, FaultStep::AnswersSound);
+            }
+            GatewayFault::KillNode { node, lasts } => {
+                self.end_node(node, false);
+                self.later(lasts, FaultStep::StartAgain(node));
+            }
+            GatewayFault::PowerOff { lasts } => {
+                for node in 0..self.machines.len() {
+                    self.end_node(node, true);
+                    let jitter = Duration::from_millis(30 * node as u64);
+                    self.later(lasts + jitter, FaultStep::StartAgain(node));
+                }
+            }
+            GatewayFault::CutFromPeers { node, lasts } => {
+                self.machines[node].cut_from_peers_until = self.now + lasts;
+            }
+            GatewayFault::Freeze { node, lasts } => {
+                self.machines[node].frozen_until = self.now + lasts;
+                self.machines[node].disturbed = self.now + lasts;
+            }
+        }
+    }
+
+    fn later(&mut self, after: Duration, step: FaultStep) {
+        self.last_fault = self.last_fault.max(self.now + after);
+        self.schedule(after, Occurrence::FaultStep(step));
+    }
+
+    fn store_disturbed(&mut self, lasts: Duration) {
+        self.store_disturbed = self.store_disturbed.max(self.now + lasts);
+    }
+
+    pub(super) fn fault_step(&mut self, step: FaultStep) {
+        match step {
+            FaultStep::StoreUp { lapse } => {
+                self.store.condition = StoreCondition::Up;
+                if lapse {
+                    self.store.lapse();
+                }
+                self.tell_watches();
+            }
+            FaultStep::StoreMuteEnds => {
+                self.store.forget_history();
+                self.cut_watches();
+            }
+            FaultStep::AnswersKept => self.store.lost_share = 0.0,
+            FaultStep::NameShards => {
+                let old = self.generation;
+                self.put_version(old + 1);
+                let after = self.scenario.apply;
+                self.later(after, FaultStep::OldShardsLeave);
+            }
+            FaultStep::OldShardsLeave => self.old_shards_leave(),
+            FaultStep::Leave { server, silent } => self.leave(server, silent),
+            FaultStep::EndServer(server) => self.end_server(server),
+            FaultStep::CrashedReturns(server) => self.crashed_returns(server),
+            FaultStep::NotSlow(servers) => {
+                for server in servers {
+                    self.servers[server].slow = 1.0;
+                }
+            }
+            FaultStep::AnswersArrive => self.answers_lost_share = 0.0,
+            FaultStep::AnswersSound => self.spoilt_share = 0.0,
+            FaultStep::StartAgain(node) => self.start_node(node),
+            FaultStep::RemoveEntry(server) => {
+                let id = self.servers[server].id.clone();
+                self.store.remove_server(&id);
+                self.tell_watches();
+            }
+        }
+    }
+
+    /// Waiting watches are cut off.
+    fn cut_watches(&mut self) {
+        for (node, life, kind, read, _) in std::mem::take(&mut self.watches) {
+            let event = GatewayEvent::SourceReplied {
+                kind,
+                read,
+                result: Err(SourceFailure::Unreachable),
+            };
+            let arrival = Occurrence::ToNode(node, life, Box::new(event));
+            self.schedule(Duration::from_millis(1), arrival);
+        }
+    }
+
+    fn replace(&mut self, server: usize, silent: bool) {
+        let service = self.servers[server].service.clone();
+        let zone = self.servers[server].zone;
+        self.start_server(service, zone, None);
+        let after = Duration::from_millis(1_000);
+        self.later(after, FaultStep::Leave { server, silent });
+    }
+
+    fn leave(&mut self, server: usize, silent: bool) {
+        let leaving = &mut self.servers[server];
+        if leaving.condition == Condition::Ended {
+            return;
+        }
+        leaving.leaving_since = Some(self.now);
+        leaving.draining = true;
+        let instance = leaving.instance();
+        match silent {
+            true => self.store.remove_server(&instance.id),
+            false => self.store.put_server(instance),
+        }
+        self.tell_watches();
+        let stays = self.scenario.drain + STAYS_LONGER;
+        self.later(stays, FaultStep::EndServer(server));
+    }
+
+    fn end_server(&mut self, server: usize) {
+        let id = self.servers[server].id.clone();
+        self.servers[server].condition = Condition::Ended;
+        self.store.remove_server(&id);
+        self.tell_watches();
+        self.lose_connections(server);
+    }
+
+    fn old_shards_leave(&mut self) {
+        let prefix = format!("shard-{}-", self.generation - 1);
+        let old: Vec<usize> = (0..self.servers.len())
+            .filter(|server| self.servers[*server].service.as_str().starts_with(&prefix))
+            .collect();
+        for server in old {
+            self.leave(server, false);
+        }
+    }
+
+    fn crash(&mut self, server: usize, lasts: Duration, dark: bool) {
+        self.servers[server].condition = match dark {
+            true => Condition::Dark,
+            false => Condition::Down,
+        };
+        if !dark {
+            self.lose_connections(server);
+        }
+        // Three heartbeats are missed before its entry goes.
+        let entry_goes = Duration::from_millis(3_600);
+        self.later(entry_goes.min(lasts), FaultStep::RemoveEntry(server));
+        self.later(lasts, FaultStep::CrashedReturns(server));
+    }
+
+    fn crashed_returns(&mut self, server: usize) {
+        self.lose_connections(server);
+        let old = &mut self.servers[server];
+        old.condition = Condition::Ended;
+        let (service, zone, address) = (old.service.clone(), old.zone, old.address);
+        self.start_server(service, zone, Some(address));
+    }
+
+    fn slow(&mut self, every: usize, factor: f64, lasts: Duration) {
+        let slowed: Vec<usize> = (0..self.servers.len()).step_by(every.max(1)).collect();
+        for server in &slowed {
+            self.servers[*server].slow = factor;
+        }
+        self.later(lasts, FaultStep::NotSlow(slowed));
+    }
+
+    /// Every connection of a server breaks.
+    fn lose_connections(&mut self, server: usize) {
+        let lost = std::mem::take(&mut self.servers[server].connections);
+        for ((node, life), connection) in lost {
+            self.machines[node].connections.remove(&connection);
+            let event = match self.in_flight.remove(&(node, life, connection)) {
+                Some(attempt) => GatewayEvent::Failed {
+                    attempt,
+                    failure: ExchangeFailure::MayHaveRun,
+                },
+                None => GatewayEvent::ConnectionLost { connection },
+            };
+            let arrival = Occurrence::ToNode(node, life, Box::new(event));
+            self.schedule(Duration::from_millis(1), arrival);
+        }
+    }
+}
--- a/crates/thornbridge-rehearsal/src/lib.rs
+++ b/crates/thornbridge-rehearsal/src/lib.rs
@@ -4,11 +4,13 @@
 //! everything around them; [`oracle`] checks after each event what must always hold;
 //! [`rehearse`] runs one rehearsal, [`fuzz`] many, [`compare`] several policies; [`report`] draws one;
 //! [`scale`] measures what control costs as the cluster grows.
+//! [`gateway`] does the same for HTTP gateways over a registry of servers.
 //! [`stand_in`] are the platform and back ends over real sockets; [`load`] offers load to real nodes.
 
 pub mod compare;
 pub mod fault;
 pub mod fuzz;
+pub mod gateway;
 pub mod http_client;
 pub mod load;
 pub mod oracle;
--- /dev/null
+++ b/crates/thornbridge-rehearsal/tests/gateway/main.rs
@@ -0,0 +1,6 @@
+//! Gateways in virtual time: calm runs, each fault alone, and faults mixed by seeds.
+
+mod alone;
+mod findings;
+mod mixed;
+mod support;
