Connections: at most half of a server's limit for all nodes, one a server until members are known

Nodes that start take themselves for the only ones for a moment and open up to the whole limit; what they opened before the power went still counts at the servers; a connection reset right after opening was tried again without a pause. Change: share of the limit 0.85 -> 0.45, by the highest number of members of 20 s; one connection a server and no slack of the budget for 3 s after a start; pauses of 0.3 to 2.4 s after refusals; spare connections rest 4 s instead of 20 s.

--- a/crates/thornbridge-core/src/gateway/budget.rs
+++ b/crates/thornbridge-core/src/gateway/budget.rs
@@ -3,8 +3,8 @@
 //! Over any window, a service may get `ratio` extra attempts for each request and `slack` beside
 //! them, for all nodes together. The ratio divides by itself: each node counts its own requests.
 //! The slack is divided by the members, at their highest number within the window, so that the
-//! sum holds while members come, go and are misjudged. A restarted node begins with its share of
-//! the slack only, and with nothing earned.
+//! sum holds while members come, go and are misjudged. A restarted node does not know the others
+//! yet: it begins without slack, and with nothing earned.
 
 use super::parameters::BudgetParameters;
 use super::window::{MaximumWindow, SumWindow};
@@ -56,7 +56,9 @@
     pub(super) fn allows(&mut self, now: Timestamp, service: ServiceKey) -> bool {
         let members = self.members.maximum(now).max(1) as f64;
         let parameters = &self.parameters;
-        let (ratio, slack, used) = (parameters.ratio, parameters.slack, parameters.used_share);
+        let settled = now.since_epoch() >= parameters.settling;
+        let slack = if settled { parameters.slack } else { 0.0 };
+        let (ratio, used) = (parameters.ratio, parameters.used_share);
         let budget = self.budget(service);
         let requests = budget.requests.sum(now) as f64;
         let extra = budget.extra.sum(now) as f64;
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -507,7 +507,7 @@
         self.peer_views
             .set_peers(peers.filter(|address| *address != own).collect());
         self.budget.set_members(self.now, members);
-        self.servers.set_members(members);
+        self.servers.set_members(self.now, members);
         if members != self.members {
             self.members = members;
             let change = GatewayChange::Members { members };
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -44,8 +44,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ServerParameters {
-    /// Share of a server's connections that all nodes together use. Below 1, since members are
-    /// misjudged for a while when they come and go.
+    /// Share of a server's connections that all nodes together use. Below a half, since machines
+    /// that lose power leave theirs to the server for a while, and come back for new ones.
     pub connection_share: f64,
     /// Most connections of this node to one server.
     pub connections_maximum: u32,
@@ -69,10 +69,20 @@
     pub silence_margin: Duration,
     /// Cost of a server that is silent.
     pub silence_cost: Duration,
-    /// Pause after a connection that could not be opened.
+    /// Pause after a connection that could not be opened, or that was closed before it carried
+    /// an answer; doubled with each in a row.
     pub reconnect_pause: Duration,
+    /// Longest such pause.
+    pub reconnect_pause_maximum: Duration,
     /// Time that a resting connection is kept, where the server names none.
     pub idle_time: Duration,
+    /// The same for connections beyond the first to a server: they are left of a burst, and a
+    /// machine that loses power leaves them to the server for a while.
+    pub spare_idle_time: Duration,
+    /// Time after a start in which other members may not be known: one connection a server.
+    pub settling: Duration,
+    /// Time for which the highest number of members counts.
+    pub members_memory: Duration,
     /// Time that an instance is still used, as a last choice, after its entry vanished without
     /// notice: the store may have lost entries that their servers write again within a heartbeat.
     pub vanished_grace: Duration,
@@ -83,7 +93,7 @@
 impl Default for ServerParameters {
     fn default() -> Self {
         Self {
-            connection_share: 0.85,
+            connection_share: 0.45,
             connections_maximum: 32,
             speed_weight: 0.2,
             speed_half_life: Duration::from_secs(2),
@@ -96,7 +106,11 @@
             silence_margin: Duration::from_millis(6),
             silence_cost: Duration::from_millis(60),
             reconnect_pause: Duration::from_millis(300),
+            reconnect_pause_maximum: Duration::from_millis(2_400),
             idle_time: Duration::from_secs(20),
+            spare_idle_time: Duration::from_secs(4),
+            settling: Duration::from_secs(3),
+            members_memory: Duration::from_secs(20),
             vanished_grace: Duration::from_millis(1_800),
             work_samples: 256,
         }
@@ -159,6 +173,8 @@
     pub window: Duration,
     /// Share of the budget that is used: attempts arrive later than they are counted here.
     pub used_share: f64,
+    /// Time after a start in which other members may not be known: no part of the slack is used.
+    pub settling: Duration,
 }
 
 impl Default for BudgetParameters {
@@ -168,6 +184,7 @@
             slack: 10.0,
             window: Duration::from_secs(10),
             used_share: 0.85,
+            settling: Duration::from_secs(3),
         }
     }
 }
--- a/crates/thornbridge-core/src/gateway/servers/connections.rs
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -24,6 +24,8 @@
     pub(in crate::gateway) server: ServerKey,
     /// `None` while it opens.
     pub(in crate::gateway) opened: bool,
+    /// Whether it ever carried an answer.
+    pub(in crate::gateway) used: bool,
     pub(in crate::gateway) attempt: Option<AttemptId>,
 }
 
@@ -38,12 +40,16 @@
 
 impl Servers {
     /// Connections that this node may have to a server.
-    pub(in crate::gateway) fn connection_limit(&self, service: ServiceKey) -> u32 {
+    fn connection_limit(&mut self, now: Timestamp, service: ServiceKey) -> u32 {
+        if now.since_epoch() < self.parameters.settling {
+            return 1;
+        }
         let known = self.services[service.0 as usize].connections;
         let Some(all) = known else {
             return UNKNOWN_CONNECTIONS;
         };
-        let share = f64::from(all) * self.parameters.connection_share / self.members as f64;
+        let members = self.members.maximum(now).max(1) as f64;
+        let share = f64::from(all) * self.parameters.connection_share / members;
         (share as u32).clamp(1, self.parameters.connections_maximum)
     }
 
@@ -78,7 +84,11 @@
         let Some(server) = self.servers.get(&key) else {
             return false;
         };
-        let limit = self.connection_limit(server.service);
+        let service = server.service;
+        let limit = self.connection_limit(now, service);
+        let Some(server) = self.servers.get(&key) else {
+            return false;
+        };
         if now < server.connect_after || server.open + server.opening >= limit {
             return false;
         }
@@ -87,6 +97,7 @@
         let entry = Connection {
             server: key,
             opened: false,
+            used: false,
             attempt: None,
         };
         self.connections.insert(connection, entry);
@@ -101,7 +112,8 @@
         true
     }
 
-    /// Opens one connection to each server of the services that are kept warm.
+    /// Opens one connection to each server of the services that are kept warm, and closes those
+    /// that have rested for long enough.
     pub(in crate::gateway) fn keep_warm(
         &mut self,
         now: Timestamp,
@@ -121,6 +133,10 @@
         for key in keys {
             self.open(now, actions, key);
         }
+        let all: Vec<ServerKey> = self.servers.keys().copied().collect();
+        for key in all {
+            self.close_rested(now, actions, key);
+        }
     }
 
     /// A connection is open; gives the server, and what waits for it.
@@ -152,7 +168,6 @@
         connection: ConnectionId,
     ) -> Option<(ServerKey, bool)> {
         let entry = self.connections.remove(&connection)?;
-        let pause = self.parameters.reconnect_pause;
         let unreachable = self.parameters.unreachable_cost;
         let server = self.servers.get_mut(&entry.server)?;
         if entry.opened {
@@ -162,9 +177,11 @@
                 .retain(|resting| resting.connection != connection);
         } else {
             server.opening = server.opening.saturating_sub(1);
-            server.connect_after = now + pause;
             server.failed(&self.parameters, now, unreachable);
         }
+        if !entry.used {
+            server.connection_refused(&self.parameters, now);
+        }
         Some((entry.server, !entry.opened))
     }
 
@@ -187,13 +204,19 @@
             return;
         };
         entry.attempt = None;
+        entry.used = true;
         let key = entry.server;
-        let rest = keep_alive.map_or(self.parameters.idle_time, |time| {
-            time.mul_f64(KEEP_ALIVE_SHARE)
-        });
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
+        server.refusals = 0;
+        let spare = server.open > 1;
+        let own = match spare {
+            true => self.parameters.spare_idle_time,
+            false => self.parameters.idle_time,
+        };
+        let named = keep_alive.map(|time| time.mul_f64(KEEP_ALIVE_SHARE));
+        let rest = named.map_or(own, |named| named.min(own));
         server.resting.push(Resting {
             connection,
             until: now + rest,
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -14,6 +14,7 @@
 use super::action::{GatewayAction, GatewayChange, ViewOrigin};
 use super::budget::ServiceKey;
 use super::parameters::ServerParameters;
+use super::window::MaximumWindow;
 use crate::driver_action::ConnectionId;
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -21,6 +22,9 @@
 use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
 use thornbridge_proto::{BackEndId, RegionName, ServiceName, ZoneName};
 
+/// Steps in which the highest number of members is remembered.
+const MEMBER_STEPS: u32 = 20;
+
 /// Position of a server in the table; never used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct ServerKey(pub(super) u32);
@@ -48,7 +52,7 @@
 pub(super) struct Servers {
     pub(super) parameters: ServerParameters,
     placement: Placement,
-    members: usize,
+    members: MaximumWindow,
     next_key: u32,
     next_connection: u64,
     servers: BTreeMap<ServerKey, Server>,
@@ -62,10 +66,11 @@
 
 impl Servers {
     pub(super) fn new(parameters: ServerParameters, placement: Placement) -> Self {
+        let step = parameters.members_memory / MEMBER_STEPS;
         Self {
             parameters,
             placement,
-            members: 1,
+            members: MaximumWindow::new(step, MEMBER_STEPS),
             next_key: 0,
             next_connection: 0,
             servers: BTreeMap::new(),
@@ -78,8 +83,8 @@
     }
 
     /// Members, this node included, that share the servers' connections.
-    pub(super) fn set_members(&mut self, members: usize) {
-        self.members = members.max(1);
+    pub(super) fn set_members(&mut self, now: Timestamp, members: usize) {
+        self.members.observe(now, members.max(1) as u64);
     }
 
     /// The position of a service.
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -17,6 +17,8 @@
 const COLD_SHARE: f64 = 0.5;
 /// Age after which a load report says nothing any more.
 const LOAD_LIFETIME: Duration = Duration::from_secs(1);
+/// Refusals in a row beyond which the pause does not grow.
+const MOST_DOUBLINGS: u32 = 8;
 /// Weight of an opening time that is longer than the least one seen.
 const ROUND_TRIP_WEIGHT: f64 = 0.1;
 
@@ -106,6 +108,8 @@
     pub(in crate::gateway) open: u32,
     pub(in crate::gateway) opening: u32,
     pub(in crate::gateway) connect_after: Timestamp,
+    /// Connections in a row that were not opened, or closed before they carried an answer.
+    pub(super) refusals: u32,
     pub(in crate::gateway) avoided: bool,
     cold_until: Timestamp,
     round_trip: Option<Duration>,
@@ -137,6 +141,7 @@
             open: 0,
             opening: 0,
             connect_after: now,
+            refusals: 0,
             avoided: false,
             cold_until: now + Duration::from_millis(u64::from(instance.cold_milliseconds)),
             round_trip: None,
@@ -223,6 +228,14 @@
         self.failures = (before + cost.as_secs_f64(), now);
     }
 
+    /// It refused a connection, or closed one before it carried an answer.
+    pub(super) fn connection_refused(&mut self, parameters: &ServerParameters, now: Timestamp) {
+        let doublings = self.refusals.min(MOST_DOUBLINGS);
+        self.refusals += 1;
+        let pause = parameters.reconnect_pause * 2_u32.pow(doublings);
+        self.connect_after = now + pause.min(parameters.reconnect_pause_maximum);
+    }
+
     /// Cost of its failures as they are remembered.
     pub(in crate::gateway) fn failure_cost(
         &self,
