--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -9,6 +9,8 @@
 pub struct ViewParameters {
     /// Longest wait of a watch. A watch that has gone silent is found after it.
     pub watch_wait: Duration,
+    /// Pause after a watch that brought changes: more often follow, and each call has its price.
+    pub coalescing: Duration,
     /// Time beyond the wait, or for a list, after which a read has failed.
     pub read_timeout: Duration,
     /// First pause after a read that failed; doubled with each.
@@ -29,6 +31,7 @@
     fn default() -> Self {
         Self {
             watch_wait: Duration::from_millis(3_500),
+            coalescing: Duration::from_millis(300),
             read_timeout: Duration::from_millis(1_000),
             first_backoff: Duration::from_millis(100),
             longest_backoff: Duration::from_millis(1_000),
--- a/crates/thornbridge-core/src/gateway/views/source.rs
+++ b/crates/thornbridge-core/src/gateway/views/source.rs
@@ -116,7 +116,12 @@
             Ok(reply) => {
                 self.answered(now, actions);
                 let news = self.take(reply);
-                self.start(now, actions);
+                match &news {
+                    Some(SourceNews::Changes(objects, _)) if !objects.is_empty() => {
+                        self.doing = Doing::Pausing(now + self.parameters.coalescing);
+                    }
+                    _ => self.start(now, actions),
+                }
                 news
             }
             Err(SourceFailure::HistoryGone) => {
