--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -139,11 +139,7 @@
     pub(super) fn abandon(&mut self, scope: &mut Scope<'_>, request: &Request, cut_at: Timestamp) {
         for (index, leg) in request.legs.iter().enumerate() {
             if let LegState::Queued(server, _) = leg.state {
-                let waiting = crate::gateway::servers::Waiting {
-                    caller: request.caller,
-                    leg: index,
-                };
-                scope.servers.stop_waiting(server, waiting);
+                scope.servers.stop_waiting(server, request.waiting(index));
             }
             for attempt in &leg.open {
                 if let Some(record) = self.attempts.get_mut(attempt) {
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -80,10 +80,7 @@
                 self.send(scope, request, index, carrier, cause);
             }
             OpenOutcome::Wait => {
-                let waiting = Waiting {
-                    caller: request.caller,
-                    leg: index,
-                };
+                let waiting = request.waiting(index);
                 if let Some(server) = scope.servers.get_mut(server) {
                     server.waiting.push_back(waiting);
                 }
@@ -177,16 +174,13 @@
         let other = scope
             .servers
             .choose(scope.now, scope.random, service, work, &excluded);
-        let leg = &mut request.legs[index];
-        leg.look_at = Some(scope.now + interval);
+        request.legs[index].look_at = Some(scope.now + interval);
         let Some(other) = other.filter(|other| !other.silent) else {
             return;
         };
-        let waiting = Waiting {
-            caller: request.caller,
-            leg: index,
-        };
+        let waiting = request.waiting(index);
         scope.servers.stop_waiting(queued_at, waiting);
+        let leg = &mut request.legs[index];
         leg.state = LegState::Wanting(cause);
         // An extra attempt was paid for when it was queued.
         let paid = leg.sent > 0;
@@ -213,10 +207,7 @@
                 self.send(scope, request, index, Carrier { server, connection }, cause);
             }
             OpenOutcome::Wait => {
-                let waiting = Waiting {
-                    caller: request.caller,
-                    leg: index,
-                };
+                let waiting = request.waiting(index);
                 if let Some(server) = scope.servers.get_mut(server) {
                     server.waiting.push_back(waiting);
                 }
--- a/crates/thornbridge-core/src/gateway/exchange/request.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -4,6 +4,7 @@
 use crate::driver_action::CallerId;
 use crate::gateway::action::AttemptNote;
 use crate::gateway::routes::{ResolvedRoute, ResolvedTarget};
+use crate::gateway::servers::Waiting;
 use crate::time::Timestamp;
 use std::sync::Arc;
 
@@ -53,6 +54,14 @@
         progress
     }
 
+    /// A part of it, as it waits for a connection.
+    pub(super) fn waiting(&self, leg: usize) -> Waiting {
+        Waiting {
+            caller: self.caller,
+            leg,
+        }
+    }
+
     pub(super) fn is_gather(&self) -> bool {
         matches!(self.route.target, ResolvedTarget::Gather(_))
     }
--- a/crates/thornbridge-rehearsal/src/gateway/oracle.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/oracle.rs
@@ -254,6 +254,16 @@
         }
     }
 
+    /// Arrivals beyond the first of each part.
+    pub(super) fn extra_arrivals(&self) -> u64 {
+        let mut first = BTreeSet::new();
+        let again = self.arrivals.iter().filter(|arrival| {
+            let part = (arrival.request, arrival.service.clone());
+            !first.insert(part)
+        });
+        again.count() as u64
+    }
+
     fn check_budget(&mut self, (ratio, slack): (f64, f64)) {
         let mut first = BTreeSet::new();
         let mut extra: BTreeMap<ServiceName, Vec<Timestamp>> = BTreeMap::new();
--- a/crates/thornbridge-rehearsal/src/gateway/world.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world.rs
@@ -308,6 +308,7 @@
             }
         }
         self.oracle.finish(self.scenario.budget);
+        self.report.extra = self.oracle.extra_arrivals();
         self.report.arrivals = self.oracle.arrivals.len() as u64;
         self.report.broken = std::mem::take(&mut self.oracle.broken);
         self.report
