Starts: reads of the store are tried again sooner, and nothing is refused before the registry is known

Change: list reads time out after 0.4 s at first; requests wait for configuration and registry; a node that knows nothing pulls from a peer every 0.4 s; in the first 3 s a part without a registered server waits. Test: findings::a_silent_store_is_asked_again_soon_after_a_start (not seen failing on the old code: its model of time differs).

--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -48,10 +48,12 @@
         let Some(choice) = self.choose(scope, request, index) else {
             let leg = &mut request.legs[index];
             let service = leg.service;
-            if !scope.servers.has_server(service) || leg.sent > 0 {
+            let settling = scope.now.since_epoch() < self.parameters.settling;
+            let none = !scope.servers.has_server(service) && !settling;
+            if none || leg.sent > 0 {
                 leg.state = LegState::Failed;
             } else {
-                // Its servers cannot be reached right now; one of them may be soon.
+                // Its servers cannot be reached or are not registered; one may be soon.
                 leg.look_at = Some(scope.now + look_interval * 2);
             }
             return;
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -106,7 +106,7 @@
             self.membership.next_timeout(),
             Some(self.configuration_source.next_timeout()),
             Some(self.registry_source.next_timeout()),
-            self.peer_views.next_timeout(),
+            self.peer_views.next_timeout(self.digest()),
             self.servers.next_timeout(),
             self.exchanges.next_timeout(),
             Some(self.next_warming),
@@ -191,6 +191,11 @@
         if self.staged_may_start() {
             self.put_in_force();
         }
+        if self.knows_views() {
+            for waiting in self.awaiting.take_all() {
+                self.request(waiting.caller, waiting.head);
+            }
+        }
         let ready = self.may_serve();
         if ready != self.ready {
             self.ready = ready;
@@ -199,7 +204,7 @@
     }
 
     fn may_serve(&self) -> bool {
-        if self.stopping || self.configuration.is_none() || self.registry.upto().is_none() {
+        if self.stopping || !self.knows_views() {
             return false;
         }
         if self.ready || self.now.since_epoch() >= READY_ANYWAY {
@@ -211,7 +216,7 @@
     }
 
     fn request(&mut self, caller: CallerId, head: RequestHead) {
-        if self.configuration.is_none() {
+        if !self.knows_views() {
             let share = self.parameters.exchange.awaiting_share;
             self.awaiting.add(self.now, caller, head, share);
             return;
@@ -468,9 +473,11 @@
         };
         self.actions.push_back(GatewayAction::Changed(change));
         self.configuration = Some(configuration);
-        for waiting in self.awaiting.take_all() {
-            self.request(waiting.caller, waiting.head);
-        }
+    }
+
+    /// Whether configuration and registry are known.
+    fn knows_views(&self) -> bool {
+        self.configuration.is_some() && self.registry.upto().is_some()
     }
 
     // Peers.
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -13,6 +13,9 @@
     pub coalescing: Duration,
     /// Time beyond the wait, or for a list, after which a read has failed.
     pub read_timeout: Duration,
+    /// The same for the first reads, doubled with each second that fails: a store that was away when a
+    /// connection was opened is tried again soon.
+    pub first_read_timeout: Duration,
     /// First pause after a read that failed; doubled with each.
     pub first_backoff: Duration,
     /// Longest pause between reads.
@@ -33,6 +36,7 @@
             watch_wait: Duration::from_millis(3_500),
             coalescing: Duration::from_millis(300),
             read_timeout: Duration::from_millis(1_000),
+            first_read_timeout: Duration::from_millis(400),
             first_backoff: Duration::from_millis(100),
             longest_backoff: Duration::from_millis(1_000),
             digest_interval: Duration::from_millis(1_000),
@@ -143,8 +147,12 @@
     pub queue_share: f64,
     /// When a refused caller is to come back.
     pub retry_after: Duration,
-    /// Share of a caller's patience for which its request waits while no configuration is known.
+    /// Share of a caller's patience for which its request waits while no configuration or registry
+    /// is known.
     pub awaiting_share: f64,
+    /// Time after a start in which servers that are not registered may still come: the store may
+    /// have lost their entries while it was away.
+    pub settling: Duration,
     /// Requests at once, beyond which new ones are refused.
     pub requests_maximum: usize,
 }
@@ -162,6 +170,7 @@
             queue_share: 0.2,
             retry_after: Duration::from_millis(100),
             awaiting_share: 0.35,
+            settling: Duration::from_secs(3),
             requests_maximum: 400,
         }
     }
--- a/crates/thornbridge-core/src/gateway/views/peers.rs
+++ b/crates/thornbridge-core/src/gateway/views/peers.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_proto::peer::PeerMessage;
-use thornbridge_proto::peer::view::{ViewDigest, ViewMessage};
+use thornbridge_proto::peer::view::{StoreRevision, ViewDigest, ViewMessage};
 
 /// Time that the store's own answer may take before a peer is asked instead.
 const PULL_DELAY: Duration = Duration::from_millis(120);
@@ -35,6 +35,8 @@
     peers: Vec<SocketAddr>,
     next_digest: Timestamp,
     behind: Option<Behind>,
+    /// When a node that knows nothing yet asks a peer again.
+    next_pull: Timestamp,
 }
 
 impl PeerViews {
@@ -44,6 +46,7 @@
             peers: Vec::new(),
             next_digest: Timestamp::ZERO,
             behind: None,
+            next_pull: Timestamp::ZERO,
         }
     }
 
@@ -53,10 +56,12 @@
     }
 
     /// When [`Self::timer_due`] wants to be called.
-    pub(in crate::gateway) fn next_timeout(&self) -> Option<Timestamp> {
+    pub(in crate::gateway) fn next_timeout(&self, own: ViewDigest) -> Option<Timestamp> {
+        let asks = knows_nothing(own) && !self.peers.is_empty();
+        let ask = asks.then_some(self.next_pull);
         let digest = (!self.peers.is_empty()).then_some(self.next_digest);
         let pull = self.behind.map(|behind| behind.pull_at);
-        [digest, pull].into_iter().flatten().min()
+        [ask, digest, pull].into_iter().flatten().min()
     }
 
     /// Sends a digest and a pull where they are due.
@@ -73,6 +78,12 @@
                 actions.push_back(send(*peer, ViewMessage::Digest(own)));
             }
         }
+        if knows_nothing(own) && !self.peers.is_empty() && self.next_pull <= now {
+            self.next_pull = now + PULL_AGAIN;
+            if let Some(peer) = self.peers.choose(random) {
+                actions.push_back(send(*peer, ViewMessage::Pull(own)));
+            }
+        }
         let Some(behind) = self.behind else {
             return;
         };
@@ -132,6 +143,11 @@
     }
 }
 
+/// Whether a view is not known at all.
+fn knows_nothing(own: ViewDigest) -> bool {
+    own.configuration == 0 || own.registry == StoreRevision::default()
+}
+
 fn is_behind(own: ViewDigest, other: ViewDigest) -> bool {
     own.configuration < other.configuration || own.registry < other.registry
 }
--- a/crates/thornbridge-core/src/gateway/views/source.rs
+++ b/crates/thornbridge-core/src/gateway/views/source.rs
@@ -173,7 +173,9 @@
                 (SourceRead::Watch { from, wait }, timeout)
             }
             None => {
-                let timeout = self.parameters.read_timeout;
+                let doublings = (self.failures / 2).min(MOST_DOUBLINGS);
+                let timeout = self.parameters.first_read_timeout * 2_u32.pow(doublings);
+                let timeout = timeout.min(self.parameters.read_timeout);
                 self.doing = Doing::Listing(now + timeout);
                 let after = self.after.clone();
                 (SourceRead::List { after }, timeout)
--- a/crates/thornbridge-rehearsal/tests/gateway/findings.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/findings.rs
@@ -51,3 +51,22 @@
     let asked: u64 = outage.iter().map(|(asked, _)| asked).sum();
     assert!(served * 10 > asked * 7, "{outage:?} {report:?}");
 }
+
+/// Bench: the same incident. The store was silent when the processes started: for a second they
+/// waited for calls that could not be answered, and then for a pause. Meanwhile those that knew
+/// a configuration but no server refused what came.
+#[test]
+fn a_silent_store_is_asked_again_soon_after_a_start() {
+    let silent = GatewayFault::StoreDown {
+        lasts: Duration::from_millis(1_400),
+        silent: true,
+        lapse: false,
+    };
+    let faults = vec![
+        TimedFault::at(6.0, power_off(0.5)),
+        TimedFault::at(5.5, silent),
+    ];
+    let report = sound_scenario(GatewayScenario::small_teams(24).with_faults(faults));
+    let (asked, served) = report.served_by_second[7];
+    assert!(served * 10 > asked * 9, "{served} of {asked}: {report:?}");
+}
