Store: three members watch closely, the others wait for up to 15 s while they hear of peers' views

What came from a peer is announced too. Also: a registry remembers departures of instances that it never saw, since a peer that saw them may ask.

--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -141,6 +141,7 @@
             let kept = self.parameters.views.departures_kept;
             self.registry.forget(self.now, kept);
             self.servers.keep_warm(self.now, &mut self.actions);
+            self.judge_patience();
         }
         for request in self.awaiting.take_overdue(self.now) {
             self.refuse_without_configuration(request);
@@ -281,6 +282,16 @@
         }
     }
 
+    /// Watches wait for long while other members watch closely and are heard.
+    fn judge_patience(&mut self) {
+        let silence = self.now.since(self.peer_heard);
+        let heard = silence < self.parameters.views.peer_silence;
+        let patient = !self.quick_watcher && heard && self.knows_views();
+        for source in [&mut self.configuration_source, &mut self.registry_source] {
+            source.set_patient(self.now, &mut self.actions, patient);
+        }
+    }
+
     fn read_sources(&mut self) {
         for source in [&mut self.configuration_source, &mut self.registry_source] {
             source.timer_due(self.now, &mut self.random, &mut self.actions);
@@ -306,10 +317,8 @@
             SourceNews::Whole(objects, at) => self.take_whole(kind, objects, at),
             SourceNews::Changes(objects, at) => self.take_changes(kind, objects, at),
         };
-        let digest = self.digest();
-        if changed && digest != before {
-            self.peer_views
-                .announce(&mut self.random, &mut self.actions, digest);
+        if changed && self.digest() != before {
+            self.announce();
         }
     }
 
@@ -500,6 +509,7 @@
     fn view_message(&mut self, peer: SocketAddr, message: ViewMessage) {
         match message {
             ViewMessage::Digest(theirs) => {
+                self.peer_heard = self.now;
                 let own = self.digest();
                 self.peer_views
                     .digest(self.now, &mut self.actions, peer, theirs, own);
@@ -538,13 +548,26 @@
             self.object_refused("peer's configuration".to_owned(), "malformed".to_owned());
             return;
         };
-        self.take_configuration(configuration, ViewOrigin::Peer);
+        if self.take_configuration(configuration, ViewOrigin::Peer) {
+            self.announce();
+        }
+    }
+
+    /// Tells a few peers of what is new here.
+    fn announce(&mut self) {
+        let digest = self.digest();
+        self.peer_views
+            .announce(&mut self.random, &mut self.actions, digest);
     }
 
     fn peer_registry(&mut self, delta: RegistryDelta) {
         let first = self.registry.upto().is_none();
         let changes = self.registry.take_delta(self.now, delta);
+        let changed = !changes.is_empty();
         self.registry_learnt(first, changes, ViewOrigin::Peer);
+        if changed {
+            self.announce();
+        }
     }
 
     /// Calls the membership, and hands on what it wants and says.
@@ -583,6 +606,10 @@
         let peers = view.members().iter().map(|member| member.endpoint.address);
         self.peer_views
             .set_peers(peers.filter(|address| *address != own).collect());
+        let quick = self.parameters.views.quick_watchers;
+        let own_node = view.own().endpoint.node;
+        let mut first = view.taking_work().take(quick);
+        self.quick_watcher = first.any(|member| member.endpoint.node == own_node);
         self.budget.set_members(self.now, members);
         self.servers.set_members(self.now, members);
         if members != self.members {
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -111,6 +111,10 @@
     ready: bool,
     stopping: bool,
     next_warming: Timestamp,
+    /// Whether this node is one of those that find a silent watch for the others.
+    quick_watcher: bool,
+    /// When a peer last told of its views.
+    peer_heard: Timestamp,
 }
 
 impl Gateway {
@@ -150,6 +154,8 @@
             ready: false,
             stopping: false,
             next_warming: Timestamp::ZERO,
+            quick_watcher: true,
+            peer_heard: Timestamp::ZERO,
         }
     }
 
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -9,6 +9,12 @@
 pub struct ViewParameters {
     /// Longest wait of a watch. A watch that has gone silent is found after it.
     pub watch_wait: Duration,
+    /// Members that keep to it. The others wait longer, since these tell them what is new.
+    pub quick_watchers: usize,
+    /// Longest wait of a watch of the others.
+    pub long_watch_wait: Duration,
+    /// Time without a word of a peer's views after which a long wait is broken off.
+    pub peer_silence: Duration,
     /// Pause after a watch that brought changes: more often follow, and each call has its price.
     pub coalescing: Duration,
     /// Time beyond the wait, or for a list, after which a read has failed.
@@ -34,6 +40,9 @@
     fn default() -> Self {
         Self {
             watch_wait: Duration::from_millis(3_500),
+            quick_watchers: 3,
+            long_watch_wait: Duration::from_secs(15),
+            peer_silence: Duration::from_millis(3_000),
             coalescing: Duration::from_millis(300),
             read_timeout: Duration::from_millis(1_000),
             first_read_timeout: Duration::from_millis(400),
--- a/crates/thornbridge-core/src/gateway/views/registry.rs
+++ b/crates/thornbridge-core/src/gateway/views/registry.rs
@@ -65,17 +65,19 @@
         known_at: StoreRevision,
         id: &BackEndId,
     ) -> Option<RegistryChange> {
-        let (present, _) = self.present.get(id)?;
-        if *present > revision {
+        let present = self.present.get(id).map(|(revision, _)| *revision);
+        let known = self.departed.get(id).map(|departure| departure.revision);
+        if present > Some(revision) || known >= Some(revision) {
             return None;
         }
-        self.present.remove(id);
+        // Also of one that was never seen here: a peer that saw it may ask.
         let departure = Departure {
             revision,
             known_at,
             learnt: now,
         };
         self.departed.insert(id.clone(), departure);
+        self.present.remove(id)?;
         Some(RegistryChange::Departed(revision, id.clone()))
     }
 
--- a/crates/thornbridge-core/src/gateway/views/source.rs
+++ b/crates/thornbridge-core/src/gateway/views/source.rs
@@ -53,6 +53,8 @@
     failures: u32,
     last_answer: Timestamp,
     reachable: bool,
+    /// Whether peers are trusted to tell of a silent watch.
+    patient: bool,
 }
 
 impl SourceReader {
@@ -69,6 +71,7 @@
             failures: 0,
             last_answer: Timestamp::ZERO,
             reachable: true,
+            patient: false,
         }
     }
 
@@ -77,6 +80,21 @@
         self.parameters = parameters;
     }
 
+    /// Whether watches may wait for long. A long wait under way is broken off when they may not
+    /// any more.
+    pub(in crate::gateway) fn set_patient(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        patient: bool,
+    ) {
+        let broken_off = self.patient && !patient && matches!(self.doing, Doing::Watching(_));
+        self.patient = patient;
+        if broken_off {
+            self.start(now, actions);
+        }
+    }
+
     /// Time since the store last answered a read of this view.
     pub(in crate::gateway) fn age(&self, now: Timestamp) -> Duration {
         now.since(self.last_answer)
@@ -167,7 +185,10 @@
         self.read += 1;
         let (what, timeout) = match self.at {
             Some(from) => {
-                let wait = self.parameters.watch_wait;
+                let wait = match self.patient {
+                    true => self.parameters.long_watch_wait,
+                    false => self.parameters.watch_wait,
+                };
                 let timeout = wait + self.parameters.read_timeout;
                 self.doing = Doing::Watching(now + timeout);
                 (SourceRead::Watch { from, wait }, timeout)
