--- a/crates/thornbridge-core/src/gateway/action.rs
+++ b/crates/thornbridge-core/src/gateway/action.rs
@@ -215,6 +215,32 @@
     pub denied: usize,
 }
 
+impl RequestNote {
+    /// The note of a request that was refused before anything was done for it.
+    pub(super) fn unstarted(
+        id: String,
+        route: String,
+        version: RouteVersion,
+        registry: StoreRevision,
+        reason: RefusalReason,
+    ) -> Self {
+        Self {
+            id,
+            route,
+            version,
+            registry,
+            took: Duration::ZERO,
+            objective: Duration::ZERO,
+            parts: 0,
+            of: 0,
+            outcome: reason.as_str(),
+            notable: Vec::new(),
+            attempts: 0,
+            denied: 0,
+        }
+    }
+}
+
 /// A change of what the gateway believes or does, for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum GatewayChange {
--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -13,9 +13,6 @@
 use crate::gateway::routes::{ResolvedGather, ResolvedTarget};
 use crate::time::Timestamp;
 use bytes::Bytes;
-use std::time::Duration;
-use thornbridge_config::routes::RouteVersion;
-use thornbridge_proto::peer::view::StoreRevision;
 
 /// The answer of a request, where it can be answered now.
 pub(super) fn answer(
@@ -133,30 +130,6 @@
     }
 }
 
-/// The note of a request that was refused before anything was done for it.
-pub(super) fn unstarted_note(
-    id: &str,
-    route: &str,
-    version: RouteVersion,
-    registry: StoreRevision,
-    reason: RefusalReason,
-) -> GatewayAction {
-    GatewayAction::Finished(RequestNote {
-        id: id.to_owned(),
-        route: route.to_owned(),
-        version,
-        registry,
-        took: Duration::ZERO,
-        objective: Duration::ZERO,
-        parts: 0,
-        of: 0,
-        outcome: reason.as_str(),
-        notable: Vec::new(),
-        attempts: 0,
-        denied: 0,
-    })
-}
-
 impl Exchanges {
     /// Tells the log how a request ended.
     pub(super) fn note(&self, scope: &mut Scope<'_>, request: &Request, outcome: &'static str) {
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -61,6 +61,7 @@
         self.queue_or_send(scope, request, index, choice.server, cause);
     }
 
+    /// Sends a part to a server, or queues it there; an extra attempt has to be paid for.
     fn queue_or_send(
         &mut self,
         scope: &mut Scope<'_>,
@@ -73,6 +74,17 @@
         if extra && !self.pay(scope, request, index) {
             return;
         }
+        self.queue_or_send_paid(scope, request, index, server, cause);
+    }
+
+    fn queue_or_send_paid(
+        &mut self,
+        scope: &mut Scope<'_>,
+        request: &mut Request,
+        index: usize,
+        server: ServerKey,
+        cause: AttemptCause,
+    ) {
         match scope
             .servers
             .connection_for(scope.now, scope.actions, server)
@@ -185,37 +197,7 @@
         let leg = &mut request.legs[index];
         leg.state = LegState::Wanting(cause);
         // An extra attempt was paid for when it was queued.
-        let paid = leg.sent > 0;
-        if paid {
-            self.requeue_paid(scope, request, index, other.server, cause);
-        } else {
-            self.queue_or_send(scope, request, index, other.server, cause);
-        }
-    }
-
-    fn requeue_paid(
-        &mut self,
-        scope: &mut Scope<'_>,
-        request: &mut Request,
-        index: usize,
-        server: ServerKey,
-        cause: AttemptCause,
-    ) {
-        match scope
-            .servers
-            .connection_for(scope.now, scope.actions, server)
-        {
-            OpenOutcome::Resting(connection) => {
-                self.send(scope, request, index, Carrier { server, connection }, cause);
-            }
-            OpenOutcome::Wait => {
-                let waiting = request.waiting(index);
-                if let Some(server) = scope.servers.get_mut(server) {
-                    server.waiting.push_back(waiting);
-                }
-                request.legs[index].state = LegState::Queued(server, cause);
-            }
-        }
+        self.queue_or_send_paid(scope, request, index, other.server, cause);
     }
 
     /// The first attempt is slower than usual: another server may get the part too.
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -18,7 +18,7 @@
 #[cfg(test)]
 mod tests;
 
-use super::action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason};
+use super::action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason, RequestNote};
 use super::budget::{ExtraAttemptBudget, ServiceKey};
 use super::event::RequestHead;
 use super::parameters::ExchangeParameters;
@@ -206,13 +206,14 @@
         route: &ResolvedRoute,
         reason: RefusalReason,
     ) {
-        scope.actions.push_back(answering::unstarted_note(
-            id,
-            &route.route.name,
+        let note = RequestNote::unstarted(
+            id.to_owned(),
+            route.route.name.clone(),
             route.version,
             scope.registry,
             reason,
-        ));
+        );
+        scope.actions.push_back(GatewayAction::Finished(note));
         let retry_after = Some(self.parameters.retry_after);
         let promise = RefusalPromise::NotRun;
         let answer = GatewayAnswer::Refused {
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -0,0 +1,59 @@
+//! The members of a gateway's cluster: who shares the budgets, and who watches the store closely.
+
+use super::action::{GatewayAction, GatewayChange};
+use super::{Gateway, is_member_change};
+use crate::context::Context;
+use crate::driver_action::Action;
+use crate::membership::{MemberView, Membership};
+use crate::signal::Signal;
+
+impl Gateway {
+    /// Calls the membership, and hands on what it wants and says.
+    pub(super) fn with_membership(&mut self, call: impl FnOnce(&mut Membership, &mut Context<'_>)) {
+        let mut context = Context::new(
+            self.now,
+            &mut self.random,
+            &mut self.member_actions,
+            &mut self.member_signals,
+        );
+        call(&mut self.membership, &mut context);
+        while let Some(action) = self.member_actions.pop_front() {
+            self.member_action(action);
+        }
+        while let Some(signal) = self.member_signals.pop_front() {
+            if let Signal::MembersChanged(view) = signal {
+                self.members_changed(&view);
+            }
+        }
+    }
+
+    pub(super) fn member_action(&mut self, action: Action) {
+        match action {
+            Action::SendPeer { to, message } => {
+                self.actions
+                    .push_back(GatewayAction::SendPeer { to, message });
+            }
+            Action::StateChanged(change) if is_member_change(&change) => {}
+            _ => {}
+        }
+    }
+
+    pub(super) fn members_changed(&mut self, view: &MemberView) {
+        let members = view.taking_work().count().max(1);
+        let own = view.own().endpoint.address;
+        let peers = view.members().iter().map(|member| member.endpoint.address);
+        self.peer_views
+            .set_peers(peers.filter(|address| *address != own).collect());
+        let quick = self.parameters.views.quick_watchers;
+        let own_node = view.own().endpoint.node;
+        let mut first = view.taking_work().take(quick);
+        self.quick_watcher = first.any(|member| member.endpoint.node == own_node);
+        self.budget.set_members(self.now, members);
+        self.servers.set_members(self.now, members);
+        if members != self.members {
+            self.members = members;
+            let change = GatewayChange::Members { members };
+            self.actions.push_back(GatewayAction::Changed(change));
+        }
+    }
+}
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -23,12 +23,14 @@
 mod event;
 mod exchange;
 mod handling;
+mod members;
 mod parameters;
 mod routes;
 mod servers;
 mod staging;
 #[cfg(test)]
 mod tests;
+mod viewing;
 mod views;
 mod window;
 mod work;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/viewing.rs
@@ -0,0 +1,323 @@
+//! The views of a gateway: what the store and peers tell, and when a configuration is in force.
+
+use super::Gateway;
+use super::action::{GatewayAction, GatewayChange, ViewOrigin};
+use super::event::{SourceFailure, SourceReply, ViewKind, ViewObject};
+use super::routes::services_of;
+use super::staging::Staged;
+use super::views::registry::RegistryChange;
+use super::views::source::SourceNews;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use thornbridge_config::routes::RouteConfiguration;
+use thornbridge_proto::peer::view::{RegistryDelta, StoreRevision, ViewDigest, ViewMessage};
+use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
+
+impl Gateway {
+    pub(super) fn digest(&self) -> ViewDigest {
+        let known = self.configuration.as_ref();
+        let in_force = known.map_or(0, |configuration| configuration.version.0);
+        let staged = self.staging.version().map_or(0, |version| version.0);
+        ViewDigest {
+            configuration: in_force.max(staged),
+            registry: self.registry.upto().unwrap_or_default(),
+        }
+    }
+
+    /// Watches wait for long while other members watch closely and are heard.
+    pub(super) fn judge_patience(&mut self) {
+        let silence = self.now.since(self.peer_heard);
+        let heard = silence < self.parameters.views.peer_silence;
+        let patient = !self.quick_watcher && heard && self.knows_views();
+        for source in [&mut self.configuration_source, &mut self.registry_source] {
+            source.set_patient(self.now, &mut self.actions, patient);
+        }
+    }
+
+    pub(super) fn read_sources(&mut self) {
+        for source in [&mut self.configuration_source, &mut self.registry_source] {
+            source.timer_due(self.now, &mut self.random, &mut self.actions);
+        }
+    }
+
+    pub(super) fn source_replied(
+        &mut self,
+        kind: ViewKind,
+        read: u64,
+        result: Result<SourceReply, SourceFailure>,
+    ) {
+        let source = match kind {
+            ViewKind::Configuration => &mut self.configuration_source,
+            ViewKind::Registry => &mut self.registry_source,
+        };
+        let news = source.replied(self.now, &mut self.random, &mut self.actions, read, result);
+        let Some(news) = news else {
+            return;
+        };
+        let before = self.digest();
+        let changed = match news {
+            SourceNews::Whole(objects, at) => self.take_whole(kind, objects, at),
+            SourceNews::Changes(objects, at) => self.take_changes(kind, objects, at),
+        };
+        if changed && self.digest() != before {
+            self.announce();
+        }
+    }
+
+    pub(super) fn take_whole(
+        &mut self,
+        kind: ViewKind,
+        objects: Vec<ViewObject>,
+        at: StoreRevision,
+    ) -> bool {
+        let mut entries = Vec::new();
+        let mut changed = false;
+        for object in objects {
+            match object {
+                ViewObject::Instance(revision, instance) => entries.push((revision, instance)),
+                ViewObject::Configuration(configuration) => {
+                    changed |= self.take_configuration(configuration, ViewOrigin::Store);
+                }
+                ViewObject::Unusable { name, reason } => self.object_refused(name, reason),
+                ViewObject::Departed(..) => {}
+            }
+        }
+        if kind == ViewKind::Registry {
+            let first = self.registry.upto().is_none();
+            let changes = self.registry.replace(self.now, entries, at);
+            changed |= !changes.is_empty();
+            self.registry_learnt(first, changes, ViewOrigin::Store);
+        }
+        changed
+    }
+
+    /// Takes changes of the registry. Those of the first list are told in one line.
+    pub(super) fn registry_learnt(
+        &mut self,
+        first: bool,
+        changes: Vec<RegistryChange>,
+        origin: ViewOrigin,
+    ) {
+        let actions_before = self.actions.len();
+        self.registry_changed(changes, origin);
+        if !first {
+            return;
+        }
+        let told = self.actions.split_off(actions_before);
+        let is_instance = |action: &GatewayAction| {
+            matches!(
+                action,
+                GatewayAction::Changed(GatewayChange::Instance { .. })
+            )
+        };
+        let others = told.into_iter().filter(|action| !is_instance(action));
+        self.actions.extend(others);
+        let change = GatewayChange::RegistryKnown {
+            instances: self.registry.len(),
+            revision: self.registry.upto().unwrap_or_default(),
+            origin,
+        };
+        self.actions.push_back(GatewayAction::Changed(change));
+    }
+
+    pub(super) fn take_changes(
+        &mut self,
+        kind: ViewKind,
+        objects: Vec<ViewObject>,
+        at: StoreRevision,
+    ) -> bool {
+        let mut changes = Vec::new();
+        let mut changed = false;
+        for object in objects {
+            match object {
+                ViewObject::Instance(revision, instance) => {
+                    changes.extend(self.registry.present(revision, instance));
+                }
+                ViewObject::Departed(revision, id) => {
+                    changes.extend(self.registry.departed(self.now, revision, at, &id));
+                }
+                ViewObject::Configuration(configuration) => {
+                    changed |= self.take_configuration(configuration, ViewOrigin::Store);
+                }
+                ViewObject::Unusable { name, reason } => self.object_refused(name, reason),
+            }
+        }
+        if kind == ViewKind::Registry {
+            self.registry.known_upto(at);
+        }
+        changed |= !changes.is_empty();
+        self.registry_changed(changes, ViewOrigin::Store);
+        changed
+    }
+
+    pub(super) fn object_refused(&mut self, name: String, reason: String) {
+        let change = GatewayChange::ObjectRefused { name, reason };
+        self.actions.push_back(GatewayAction::Changed(change));
+    }
+
+    pub(super) fn registry_changed(&mut self, changes: Vec<RegistryChange>, origin: ViewOrigin) {
+        for change in changes {
+            match change {
+                RegistryChange::Present(revision, instance) => {
+                    self.servers
+                        .present(self.now, &mut self.actions, &instance, revision, origin);
+                }
+                RegistryChange::Departed(revision, id) => {
+                    self.servers
+                        .departed(self.now, &mut self.actions, &id, revision, origin);
+                }
+            }
+        }
+        self.strand_leaving();
+    }
+
+    /// What waits for a server that takes nothing any more goes elsewhere.
+    pub(super) fn strand_leaving(&mut self) {
+        for server in self.servers.leaving_with_waiting() {
+            let (exchanges, mut scope) = self.exchanges();
+            exchanges.server_left(&mut scope, server);
+        }
+    }
+
+    /// Takes a configuration where it is newer and nothing is wrong with it.
+    pub(super) fn take_configuration(
+        &mut self,
+        configuration: RouteConfiguration,
+        origin: ViewOrigin,
+    ) -> bool {
+        let version = configuration.version;
+        if version.0 <= self.digest().configuration {
+            return false;
+        }
+        let problems = configuration.problems();
+        if !problems.is_empty() {
+            let reasons: Vec<String> = problems.iter().map(ToString::to_string).collect();
+            self.object_refused(format!("configuration {version}"), reasons.join("; "));
+            return false;
+        }
+        let warm = services_of(&configuration, &mut self.servers);
+        self.servers.configure(&configuration.services, warm);
+        self.servers.keep_warm(self.now, &mut self.actions);
+        self.staging
+            .stage(self.now, Arc::new(configuration), origin);
+        true
+    }
+
+    pub(super) fn staged_may_start(&mut self) -> bool {
+        let Some(staged) = self.staging.get() else {
+            return false;
+        };
+        let waited = self.now.since(staged.since) >= self.parameters.views.staging;
+        if waited || self.configuration.is_none() {
+            return true;
+        }
+        let configuration = Arc::clone(&staged.configuration);
+        let named = services_of(&configuration, &mut self.servers);
+        named
+            .into_iter()
+            .all(|service| self.servers.is_warm(service) || !self.servers.has_server(service))
+    }
+
+    pub(super) fn put_in_force(&mut self) {
+        let Some(staged) = self.staging.take() else {
+            return;
+        };
+        let Staged {
+            configuration,
+            origin,
+            since,
+        } = staged;
+        let replaced = self.routes.version;
+        self.routes.apply(&configuration, &mut self.servers);
+        let limits = configuration.limits;
+        self.actions.push_back(GatewayAction::SetLimits { limits });
+        let change = GatewayChange::ConfigurationInForce {
+            version: configuration.version,
+            replaced,
+            origin,
+            staged_for: self.now.since(since),
+        };
+        self.actions.push_back(GatewayAction::Changed(change));
+        self.configuration = Some(configuration);
+    }
+
+    /// Whether configuration and registry are known.
+    pub(super) fn knows_views(&self) -> bool {
+        self.configuration.is_some() && self.registry.upto().is_some()
+    }
+
+    pub(super) fn peer_message(&mut self, from: PeerEndpoint, message: PeerMessage) {
+        match message {
+            PeerMessage::Membership(message) => self.with_membership(|membership, context| {
+                membership.peer_message(context, from, message);
+            }),
+            PeerMessage::View(message) => self.view_message(from.address, message),
+            // The other protocols belong to nodes that serve queries and actions.
+            PeerMessage::Configuration(_) | PeerMessage::Health(_) | PeerMessage::Action(_) => {}
+        }
+    }
+
+    pub(super) fn view_message(&mut self, peer: SocketAddr, message: ViewMessage) {
+        match message {
+            ViewMessage::Digest(theirs) => {
+                self.peer_heard = self.now;
+                let own = self.digest();
+                self.peer_views
+                    .digest(self.now, &mut self.actions, peer, theirs, own);
+            }
+            ViewMessage::Pull(theirs) => self.pulled(peer, theirs),
+            ViewMessage::Configuration { encoded, .. } => self.peer_configuration(&encoded),
+            ViewMessage::Registry(delta) => self.peer_registry(delta),
+        }
+    }
+
+    pub(super) fn pulled(&mut self, peer: SocketAddr, theirs: ViewDigest) {
+        let newest = match self.staging.get() {
+            Some(staged) => Some(&staged.configuration),
+            None => self.configuration.as_ref(),
+        };
+        if let Some(configuration) = newest
+            && configuration.version.0 > theirs.configuration
+            && let Ok(encoded) = rmp_serde::to_vec(&**configuration)
+        {
+            let version = configuration.version.0;
+            self.send_view(peer, ViewMessage::Configuration { version, encoded });
+        }
+        if let Some(delta) = self.registry.delta(theirs.registry) {
+            self.send_view(peer, ViewMessage::Registry(delta));
+        }
+    }
+
+    pub(super) fn send_view(&mut self, to: SocketAddr, message: ViewMessage) {
+        let message = PeerMessage::View(message);
+        self.actions
+            .push_back(GatewayAction::SendPeer { to, message });
+    }
+
+    pub(super) fn peer_configuration(&mut self, encoded: &[u8]) {
+        let Ok(configuration) = rmp_serde::from_slice::<RouteConfiguration>(encoded) else {
+            self.object_refused("peer's configuration".to_owned(), "malformed".to_owned());
+            return;
+        };
+        if self.take_configuration(configuration, ViewOrigin::Peer) {
+            self.announce();
+        }
+    }
+
+    /// Tells a few peers of what is new here.
+    pub(super) fn announce(&mut self) {
+        let digest = self.digest();
+        self.peer_views
+            .announce(&mut self.random, &mut self.actions, digest);
+    }
+
+    pub(super) fn peer_registry(&mut self, delta: RegistryDelta) {
+        let first = self.registry.upto().is_none();
+        let changes = self.registry.take_delta(self.now, delta);
+        let changed = !changes.is_empty();
+        self.registry_learnt(first, changes, ViewOrigin::Peer);
+        if changed {
+            self.announce();
+        }
+    }
+}
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -250,14 +250,7 @@
         });
         let metrics = Arc::new(GatewayMetrics::new());
         let standing = Arc::new(Mutex::new(Standing::default()));
-        let gateway = Gateway::new(GatewaySetup {
-            endpoint,
-            name: settings.name,
-            placement: settings.placement,
-            seeds: settings.seeds,
-            seed: rand::random(),
-            parameters: settings.parameters,
-        });
+        let gateway = gateway_of(settings, endpoint);
         let outlets = Outlets {
             ready,
             limits,
@@ -358,6 +351,17 @@
     }
 }
 
+fn gateway_of(settings: GatewaySettings, endpoint: PeerEndpoint) -> Gateway {
+    Gateway::new(GatewaySetup {
+        endpoint,
+        name: settings.name,
+        placement: settings.placement,
+        seeds: settings.seeds,
+        seed: rand::random(),
+        parameters: settings.parameters,
+    })
+}
+
 /// Links to peers that are cut off show soon: budgets depend on who is there.
 fn peer_parameters() -> PeerParameters {
     PeerParameters {
--- a/crates/thornbridge-rehearsal/src/gateway/world.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world.rs
@@ -2,10 +2,11 @@
 
 mod faults;
 mod handling;
+mod machines;
 mod serving;
 
 use super::callers::{Try, next_arrival};
-use super::network::{CALLER_WAY, way};
+use super::network::CALLER_WAY;
 use super::oracle::{Oracle, Rule};
 use super::report::GatewayReport;
 use super::scenario::{GatewayScenario, shard_service};
@@ -17,12 +18,9 @@
 use std::collections::{BTreeMap, BinaryHeap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
-use thornbridge_core::gateway::{
-    Gateway, GatewayAnswer, GatewayEvent, GatewaySetup, Placement, SourceRead, ViewKind,
-};
+use thornbridge_core::gateway::{Gateway, GatewayAnswer, GatewayEvent, SourceRead, ViewKind};
 use thornbridge_core::{CallerId, ConnectionId, Timestamp};
-use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
-use thornbridge_proto::{AttemptId, NodeId, NodeName, RegionName, ZoneName};
+use thornbridge_proto::{AttemptId, ZoneName};
 
 /// Time before the first caller.
 const LEAD: Duration = Duration::from_secs(6);
@@ -341,63 +339,6 @@
         }
     }
 
-    pub(super) fn start_node(&mut self, node: usize) {
-        let seeds: Vec<SocketAddr> = self
-            .machines
-            .iter()
-            .take(3)
-            .map(|machine| machine.address)
-            .collect();
-        let regions = (0..self.scenario.nodes.len()).map(zone_name);
-        let regions = regions.map(|zone| (zone, RegionName::new("region")));
-        let machine = &mut self.machines[node];
-        machine.life += 1;
-        machine.started = self.now;
-        machine.ready = false;
-        machine.version_seen = 0;
-        machine.connections.clear();
-        machine.timer_at = Timestamp::MAX;
-        let identity = self.scenario.seed ^ ((node as u64) << 32) ^ u64::from(machine.life);
-        let gateway = Gateway::new(GatewaySetup {
-            endpoint: PeerEndpoint {
-                node: NodeId(identity),
-                address: machine.address,
-            },
-            name: NodeName::new(format!("node-{node}")),
-            placement: Placement {
-                zone: zone_name(machine.zone),
-                region: RegionName::new("region"),
-                regions: regions.collect(),
-            },
-            seeds,
-            seed: identity,
-            parameters: self.scenario.parameters.clone(),
-        });
-        machine.gateway = Some(gateway);
-        let life = machine.life;
-        self.node_event(node, life, GatewayEvent::Started);
-    }
-
-    /// A node's process ends; `power`: its peers and servers are not told.
-    pub(super) fn end_node(&mut self, node: usize, power: bool) {
-        let owner = (node, self.machines[node].life);
-        self.machines[node].gateway = None;
-        self.machines[node].ready = false;
-        for server in &mut self.servers {
-            server.owner_ended(self.now, owner, power);
-        }
-        self.watches.retain(|(other, ..)| *other != node);
-        let lost: Vec<u64> = self
-            .tries
-            .iter()
-            .filter(|(_, waiting)| waiting.node.0 == node)
-            .map(|(request, _)| *request)
-            .collect();
-        for request in lost {
-            self.try_again(request, Duration::ZERO, false);
-        }
-    }
-
     fn next_caller(&mut self, load: usize) {
         let end = Timestamp::ZERO + LEAD + self.scenario.length;
         if self.now >= end {
@@ -434,90 +375,10 @@
         &mut self.report.served_by_second[second]
     }
 
-    pub(super) fn send_to_peer(&mut self, from: usize, to: SocketAddr, message: PeerMessage) {
-        self.report.peer_messages += 1;
-        let target = self
-            .machines
-            .iter()
-            .position(|machine| machine.address == to);
-        let Some(target) = target else {
-            return;
-        };
-        let cut = |machine: &Machine| machine.cut_from_peers_until > self.now;
-        if cut(&self.machines[from]) || cut(&self.machines[target]) {
-            return;
-        }
-        let source = &self.machines[from];
-        let Some(_) = source.gateway else {
-            return;
-        };
-        let identity = self.scenario.seed ^ ((from as u64) << 32) ^ u64::from(source.life);
-        let endpoint = PeerEndpoint {
-            node: NodeId(identity),
-            address: source.address,
-        };
-        let delay = way(&mut self.random, source.zone, self.machines[target].zone);
-        let life = self.machines[target].life;
-        if self.machines[target].gateway.is_none() {
-            let down = GatewayEvent::PeerLinkDown { address: to };
-            let life = self.machines[from].life;
-            self.schedule(delay * 2, Occurrence::ToNode(from, life, Box::new(down)));
-            return;
-        }
-        let event = GatewayEvent::PeerMessage {
-            from: endpoint,
-            message,
-        };
-        self.schedule(delay, Occurrence::ToNode(target, life, Box::new(event)));
-    }
-
-    /// Hands an event to a node, if that run of it still lives, and carries out what it wants.
-    pub(super) fn node_event(&mut self, node: usize, life: u32, event: GatewayEvent) {
-        let machine = &mut self.machines[node];
-        if machine.life != life || machine.gateway.is_none() {
-            return;
-        }
-        if machine.frozen_until > self.now {
-            let at = machine.frozen_until;
-            self.schedule_at(at, Occurrence::ToNode(node, life, Box::new(event)));
-            return;
-        }
-        let clock = Timestamp::from_epoch(self.now.since(machine.started));
-        let Some(mut gateway) = machine.gateway.take() else {
-            return;
-        };
-        gateway.handle(clock, event);
-        let mut actions = Vec::new();
-        while let Some(action) = gateway.poll_action() {
-            actions.push(action);
-        }
-        let due = gateway.next_timeout();
-        let started = machine.started;
-        machine.gateway = Some(gateway);
-        if let Some(due) = due {
-            let at = (started + due.since_epoch()).max(self.now + Duration::from_micros(100));
-            if at < machine.timer_at {
-                machine.timer_at = at;
-                self.schedule_at(at, Occurrence::Timer(node, life));
-            }
-        }
-        for action in actions {
-            self.carry_out(node, life, action);
-        }
-    }
-
     pub(super) fn caller_id(request: u64) -> CallerId {
         CallerId(request)
     }
 
-    /// Whether a node has been undisturbed, and able to learn from store or peers, for a while.
-    pub(super) fn in_touch(&self, node: usize) -> bool {
-        let contact = Duration::from_secs(4);
-        let machine = &self.machines[node];
-        let calm = |since: Timestamp| self.now.since(since) > contact;
-        calm(machine.disturbed) && calm(machine.started) && calm(self.store_disturbed)
-    }
-
     pub(super) fn server_at(&self, address: SocketAddr) -> Option<usize> {
         self.servers
             .iter()
