--- a/crates/thornbridge-config/src/routes.rs
+++ b/crates/thornbridge-config/src/routes.rs
@@ -87,7 +87,7 @@
     /// Host that requests name, in lower case and without a port.
     pub host: String,
     /// Beginning of the path; begins and ends with a slash. The longest that fits wins.
-    pub path_prefix: String,
+    pub prefix: String,
     /// What answers.
     pub target: RouteTarget,
     /// Whether requests may be repeated.
@@ -175,7 +175,7 @@
                     detail,
                 });
             };
-            if !seen.insert((&route.host, &route.path_prefix)) {
+            if !seen.insert((&route.host, &route.prefix)) {
                 found("another route has the same host and path prefix".to_owned());
             }
             route.check(&mut found);
@@ -186,7 +186,7 @@
 
 impl Route {
     fn check(&self, found: &mut impl FnMut(String)) {
-        let prefix = &self.path_prefix;
+        let prefix = &self.prefix;
         if !prefix.starts_with('/') || !prefix.ends_with('/') {
             found(format!(
                 "path prefix {prefix:?} must begin and end with a slash"
--- a/crates/thornbridge-core/src/gateway/routes.rs
+++ b/crates/thornbridge-core/src/gateway/routes.rs
@@ -67,7 +67,7 @@
         let mut keys = BTreeMap::new();
         self.by_host.clear();
         for route in &configuration.routes {
-            let identity = (route.host.clone(), route.path_prefix.clone());
+            let identity = (route.host.clone(), route.prefix.clone());
             let key = self.keys.get(&identity).copied().unwrap_or_else(|| {
                 self.next_key += 1;
                 RouteKey(self.next_key)
@@ -85,7 +85,7 @@
                 .push(resolved);
         }
         for routes in self.by_host.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.route.path_prefix.len()));
+            routes.sort_by_key(|route| std::cmp::Reverse(route.route.prefix.len()));
         }
         let kept: BTreeSet<RouteKey> = keys.values().copied().collect();
         self.statistics.retain(|key, _| kept.contains(key));
@@ -97,7 +97,7 @@
         let routes = self.by_host.get(host)?;
         let found = routes
             .iter()
-            .find(|route| path.starts_with(&route.route.path_prefix));
+            .find(|route| path.starts_with(&route.route.prefix));
         found.cloned()
     }
 
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -62,7 +62,7 @@
     Route {
         name: prefix.to_owned(),
         host: "host".to_owned(),
-        path_prefix: prefix.to_owned(),
+        prefix: prefix.to_owned(),
         target,
         repeatability,
         time_limit: millis(1_000),
--- a/crates/thornbridge-rehearsal/src/gateway/scenario.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/scenario.rs
@@ -137,7 +137,7 @@
                 Route {
                     name: "gather".to_owned(),
                     host: HOST.to_owned(),
-                    path_prefix: GATHER_PREFIX.to_owned(),
+                    prefix: GATHER_PREFIX.to_owned(),
                     target: RouteTarget::Gather(GatherTarget {
                         shards,
                         records: 50,
@@ -152,7 +152,7 @@
                 Route {
                     name: "plain".to_owned(),
                     host: HOST.to_owned(),
-                    path_prefix: PLAIN_PREFIX.to_owned(),
+                    prefix: PLAIN_PREFIX.to_owned(),
                     target: RouteTarget::Service(plain),
                     repeatability,
                     time_limit: PLAIN_LIMIT,
