--- a/crates/thornbridge-rehearsal/src/gateway/oracle.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/oracle.rs
@@ -1,5 +1,8 @@
 //! What must always hold, checked by what callers, servers and the store saw.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use thornbridge_config::routes::RECORD_BYTES;
