--- a/crates/thornbridge-core/src/gateway/members.rs
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -1,7 +1,7 @@
 //! The members of a gateway's cluster: who shares the budgets, and who watches the store closely.
 
+use super::Gateway;
 use super::action::{GatewayAction, GatewayChange};
-use super::{Gateway, is_member_change};
 use crate::context::Context;
 use crate::driver_action::Action;
 use crate::membership::{MemberView, Membership};
@@ -28,13 +28,10 @@
     }
 
     pub(super) fn member_action(&mut self, action: Action) {
-        match action {
-            Action::SendPeer { to, message } => {
-                self.actions
-                    .push_back(GatewayAction::SendPeer { to, message });
-            }
-            Action::StateChanged(change) if is_member_change(&change) => {}
-            _ => {}
+        // Its changes of state show in the number of members, which is told when it changes.
+        if let Action::SendPeer { to, message } = action {
+            self.actions
+                .push_back(GatewayAction::SendPeer { to, message });
         }
     }
 
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -48,7 +48,7 @@
 };
 pub use servers::Placement;
 
-use crate::driver_action::{Action, StateChange};
+use crate::driver_action::Action;
 use crate::membership::Membership;
 use crate::signal::Signal;
 use crate::time::Timestamp;
@@ -186,8 +186,3 @@
         self.routes.version.0
     }
 }
-
-/// Whether a change of state concerns members.
-fn is_member_change(change: &StateChange) -> bool {
-    matches!(change, StateChange::MemberChanged { .. })
-}
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -156,8 +156,6 @@
     /// Time after a caller left before its attempts are cut off. Most end by themselves, and a
     /// connection is dear.
     pub gone_grace: Duration,
-    /// Time that a request may wait for a server or connection before it is refused.
-    pub queue_share: f64,
     /// When a refused caller is to come back.
     pub retry_after: Duration,
     /// Share of a caller's patience for which its request waits while no configuration or registry
@@ -180,7 +178,6 @@
             hedge_initial_share: 0.25,
             look_interval: Duration::from_millis(5),
             gone_grace: Duration::from_millis(250),
-            queue_share: 0.2,
             retry_after: Duration::from_millis(100),
             awaiting_share: 0.35,
             settling: Duration::from_secs(3),
@@ -232,3 +229,21 @@
     /// Membership.
     pub membership: crate::membership::MembershipParameters,
 }
+
+/// Part of the time in which a node counts as connected after which a silent watch is found.
+const WATCH_SHARE: f64 = 0.85;
+/// Part of the time to drain for which a server whose entry vanished is still a last choice.
+const VANISHED_SHARE: f64 = 0.6;
+/// Shortest wait of a watch.
+const LEAST_WATCH_WAIT: Duration = Duration::from_millis(500);
+
+impl GatewayParameters {
+    /// Fits the views and servers to the operator's bounds: the time after which an undisturbed
+    /// node counts as connected, and the time after which a leaving server must get nothing.
+    pub fn fit(&mut self, contact: Duration, drain: Duration) {
+        let silent = contact.mul_f64(WATCH_SHARE);
+        let wait = silent.saturating_sub(self.views.read_timeout);
+        self.views.watch_wait = wait.max(LEAST_WATCH_WAIT);
+        self.servers.vanished_grace = drain.mul_f64(VANISHED_SHARE);
+    }
+}
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -65,7 +65,6 @@
     in_flight: Gauge,
     connections: Gauge,
     ready: Gauge,
-    pub(super) log_lines_dropped: Counter,
 }
 
 impl fmt::Debug for GatewayMetrics {
@@ -95,7 +94,6 @@
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             ready: Gauge::default(),
-            log_lines_dropped: Counter::default(),
         };
         metrics.register();
         metrics
@@ -116,8 +114,6 @@
         registry.register("missing_parts", missing, self.missing_parts.clone());
         let changes = "Changes of state, by kind";
         registry.register("changes", changes, self.changes.clone());
-        let dropped = "Lines that the log had no room for";
-        registry.register("log_lines_dropped", dropped, self.log_lines_dropped.clone());
         let members = "Members that share the budgets";
         registry.register("members", members, self.members.clone());
         registry.register("instances", "Registered instances", self.instances.clone());
