Connections: one that was not used is opened again only when it is needed

Change: rest is used up to 0.5 s before its announced end; a server whose connection was closed unused is warmed only where its service has no other connection. Test: an_unused_connection_is_opened_again_only_for_a_service_without_any (three before the change).

--- a/crates/thornbridge-core/src/gateway/servers/connections.rs
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -15,8 +15,10 @@
 
 /// Connections to a server whose limit is not known.
 const UNKNOWN_CONNECTIONS: u32 = 2;
-/// Part of the announced rest that is used: the server counts from an earlier moment.
-const KEEP_ALIVE_SHARE: f64 = 0.7;
+/// Part of the announced rest that is left unused: the server counts from an earlier moment.
+const KEEP_ALIVE_RESERVE: f64 = 0.3;
+/// Most that is left unused of it: the way, and a stall of this node.
+const KEEP_ALIVE_RESERVE_MAXIMUM: Duration = Duration::from_millis(500);
 
 /// A connection that is open or opening.
 #[derive(Clone, Copy, Debug)]
@@ -112,28 +114,20 @@
         true
     }
 
-    /// Opens one connection to each server of the services that are kept warm, and closes those
-    /// that have rested for long enough.
+    /// Opens a connection to the servers of the services that are kept warm, and closes those that
+    /// have rested for long enough. A server whose last connection was closed for want of use gets
+    /// a new one only when it is needed, or when its service has no other.
     pub(in crate::gateway) fn keep_warm(
         &mut self,
         now: Timestamp,
         actions: &mut VecDeque<GatewayAction>,
     ) {
         self.reassign(now);
-        let cold = |server: &Server| {
-            server.assigned
-                && server.availability == Availability::Ready
-                && server.open + server.opening == 0
-                && server.connect_after <= now
-        };
-        let keys: Vec<ServerKey> = self
-            .servers
-            .iter()
-            .filter(|(_, server)| self.kept_warm.contains(&server.service) && cold(server))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in keys {
-            self.open(now, actions, key);
+        let services: Vec<ServiceKey> = self.kept_warm.iter().copied().collect();
+        for service in services {
+            for key in self.cold_servers(now, service) {
+                self.open(now, actions, key);
+            }
         }
         let all: Vec<ServerKey> = self.servers.keys().copied().collect();
         for key in all {
@@ -141,6 +135,33 @@
         }
     }
 
+    /// Servers of a service to which a connection is to be opened ahead of use.
+    fn cold_servers(&self, now: Timestamp, service: ServiceKey) -> Vec<ServerKey> {
+        let keys = &self.services[service.0 as usize].servers;
+        let found = keys
+            .iter()
+            .filter_map(|key| Some((*key, self.servers.get(key)?)));
+        let mut connected = false;
+        let mut cold: Vec<(ServerKey, &Server)> = Vec::new();
+        for (key, server) in found {
+            let kept = server.assigned && server.availability == Availability::Ready;
+            if server.open + server.opening > 0 {
+                connected |= kept;
+            } else if kept && server.connect_after <= now {
+                cold.push((key, server));
+            }
+        }
+        cold.sort_by_key(|(_, server)| (!server.wanted, server.distance));
+        let mut keys = Vec::new();
+        for (key, server) in cold {
+            if server.wanted || !connected {
+                connected = true;
+                keys.push(key);
+            }
+        }
+        keys
+    }
+
     /// A connection is open; gives the server, and what waits for it.
     pub(in crate::gateway) fn opened(
         &mut self,
@@ -181,6 +202,9 @@
             server.opening = server.opening.saturating_sub(1);
             server.failed(&self.parameters, now, unreachable);
         }
+        if !entry.used && entry.opened {
+            server.wanted = false;
+        }
         if !entry.used {
             let longest = match entry.opened {
                 true => self.parameters.refused_pause_maximum,
@@ -193,8 +217,12 @@
 
     /// The connection and server of an attempt.
     pub(in crate::gateway) fn occupy(&mut self, connection: ConnectionId, attempt: AttemptId) {
-        if let Some(entry) = self.connections.get_mut(&connection) {
-            entry.attempt = Some(attempt);
+        let Some(entry) = self.connections.get_mut(&connection) else {
+            return;
+        };
+        entry.attempt = Some(attempt);
+        if let Some(server) = self.servers.get_mut(&entry.server) {
+            server.wanted = true;
         }
     }
 
@@ -221,7 +249,7 @@
             true => self.parameters.spare_idle_time,
             false => self.parameters.idle_time,
         };
-        let named = keep_alive.map(|time| time.mul_f64(KEEP_ALIVE_SHARE));
+        let named = keep_alive.map(usable_rest);
         let rest = named.map_or(own, |named| named.min(own));
         server.resting.push(Resting {
             connection,
@@ -289,6 +317,9 @@
         let rested: Vec<ConnectionId> = rested.map(|resting| resting.connection).collect();
         for connection in rested {
             self.close(actions, connection);
+            if let Some(server) = self.servers.get_mut(&key) {
+                server.wanted &= server.open > 0;
+            }
         }
     }
 
@@ -304,3 +335,9 @@
         }
     }
 }
+
+/// Part of an announced rest in which the connection may carry another attempt.
+fn usable_rest(announced: Duration) -> Duration {
+    let reserve = announced.mul_f64(KEEP_ALIVE_RESERVE);
+    announced.saturating_sub(reserve.min(KEEP_ALIVE_RESERVE_MAXIMUM))
+}
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -23,7 +23,7 @@
 const ROUND_TRIP_WEIGHT: f64 = 0.1;
 
 /// How far a server is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(in crate::gateway) enum Distance {
     SameZone,
     SameRegion,
@@ -105,6 +105,8 @@
     pub(in crate::gateway) availability: Availability,
     /// Whether this node is one of those that keep a connection to it.
     pub(in crate::gateway) assigned: bool,
+    /// Whether a connection is to be opened ahead of use: not after one that was not used.
+    pub(in crate::gateway) wanted: bool,
     pub(in crate::gateway) outstanding: Vec<Outstanding>,
     pub(in crate::gateway) waiting: VecDeque<Waiting>,
     pub(in crate::gateway) resting: Vec<Resting>,
@@ -140,6 +142,7 @@
             slots: instance.slots.max(1),
             availability: Availability::Ready,
             assigned: false,
+            wanted: true,
             outstanding: Vec::new(),
             waiting: VecDeque::new(),
             resting: Vec::new(),
@@ -216,10 +219,11 @@
         let observed = ratio.clamp(SPEED_RANGE.0, SPEED_RANGE.1).ln();
         let (speed, at) = self.speed;
         let decayed = speed * half_life(now.since(at), parameters.speed_half_life);
-        self.speed = (
-            decayed + (observed - decayed) * parameters.speed_weight,
-            now,
-        );
+        let weight = match observed > decayed {
+            true => parameters.slowing_weight,
+            false => parameters.speed_weight,
+        };
+        self.speed = (decayed + (observed - decayed) * weight, now);
     }
 
     /// It failed in a way that costs this much.
--- a/crates/thornbridge-core/src/gateway/tests/subsets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/subsets.rs
@@ -1,6 +1,7 @@
 //! More nodes than a server takes connections.
 
 use super::support::instance;
+use crate::driver_action::ConnectionId;
 use crate::gateway::GatewayAction;
 use crate::gateway::ServerParameters;
 use crate::gateway::action::ViewOrigin;
@@ -187,3 +188,28 @@
     let other = other.map(|replica| server_address(0, replica));
     assert_eq!(opened, Vec::from_iter(other));
 }
+
+#[test]
+fn an_unused_connection_is_opened_again_only_for_a_service_without_any() {
+    let mut node = Node::new(0, 1, 26);
+    node.opens(after(5_000), 8);
+    let mut opened: Vec<ConnectionId> = Vec::new();
+    for action in &node.actions {
+        if let GatewayAction::Open { connection, .. } = action {
+            opened.push(*connection);
+        }
+    }
+    for connection in &opened {
+        node.servers
+            .opened(after(5_001), *connection, Duration::from_millis(1));
+    }
+    // The servers close what rested for too long.
+    for connection in &opened {
+        node.servers.lost(after(15_000), *connection);
+    }
+    node.actions.clear();
+    node.servers.keep_warm(after(17_000), &mut node.actions);
+    let again = node.actions.iter();
+    let again = again.filter(|action| matches!(action, GatewayAction::Open { .. }));
+    assert_eq!(again.count(), 1);
+}
