Views: one member reads the store for all; the others follow and read when nothing was confirmed for too long

Ruled out: renewals alone (15 s waits for 61 of 64 members). Digests carry the age of the store's last confirmation; the first member in order watches, the others poll it (one relay for each 32 members) and take over one after the other from 0.6 of a limit, which is 0.6 of the shorter of the operator's two bounds. A vanished server's grace ends, at the latest, 0.85 of the time to drain after it was last confirmed. Tests: gateway/tests/freshness.rs; rehearsal: each member refused by the store, the first five at once.

--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -74,6 +74,7 @@
             Some(self.configuration_source.next_timeout()),
             Some(self.registry_source.next_timeout()),
             self.peer_views.next_timeout(self.digest()),
+            self.freshness.next_timeout(self.now),
             self.servers.next_timeout(),
             self.exchanges.next_timeout(),
             Some(self.next_warming),
@@ -113,16 +114,15 @@
             membership.wants_machines(context);
         });
         self.read_sources();
-        let digest = self.digest();
+        let own = self.view_age();
         self.peer_views
-            .timer_due(self.now, &mut self.random, &mut self.actions, digest);
+            .timer_due(self.now, &mut self.random, &mut self.actions, own);
         self.servers.timer_due(self.now, &mut self.actions);
         if self.next_warming <= self.now {
             self.next_warming = self.now + WARMING_INTERVAL;
             let kept = self.parameters.views.departures_kept;
             self.registry.forget(self.now, kept);
             self.servers.keep_warm(self.now, &mut self.actions);
-            self.judge_patience();
         }
         for request in self.awaiting.take_overdue(self.now) {
             self.refuse_without_configuration(request);
@@ -155,6 +155,7 @@
             .set_parameters(parameters.views.clone());
         self.registry_source
             .set_parameters(parameters.views.clone());
+        self.freshness.set_limit(parameters.views.staleness_limit);
         self.parameters = parameters;
         let state = "reconfigured";
         let change = GatewayChange::Lifecycle { state };
@@ -175,6 +176,7 @@
 
     /// Puts a configuration in force where it may be, and reports readiness.
     fn settle(&mut self) {
+        self.judge_freshness();
         if self.staged_may_start() {
             self.put_in_force();
         }
--- a/crates/thornbridge-core/src/gateway/members.rs
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -7,6 +7,7 @@
 use crate::driver_action::Action;
 use crate::membership::{MemberView, Membership};
 use crate::signal::Signal;
+use std::net::SocketAddr;
 
 impl Gateway {
     /// Calls the membership, and hands on what it wants and says.
@@ -42,10 +43,14 @@
         let peers = view.members().iter().map(|member| member.endpoint.address);
         self.peer_views
             .set_peers(peers.filter(|address| *address != own).collect());
-        let quick = self.parameters.views.quick_watchers;
-        let own_node = view.own().endpoint.node;
-        let mut first = view.taking_work().take(quick);
-        self.quick_watcher = first.any(|member| member.endpoint.node == own_node);
+        let order: Vec<SocketAddr> = view
+            .taking_work()
+            .map(|member| member.endpoint.address)
+            .collect();
+        let place = order.iter().position(|address| *address == own);
+        let rank = place.unwrap_or(order.len());
+        self.freshness.set_rank(rank);
+        self.peer_views.set_readers(&order, rank);
         self.budget.set_members(self.now, members);
         let sharers = view.taking_work().map(|member| Sharer {
             address: member.endpoint.address,
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -67,6 +67,7 @@
 use thornbridge_proto::peer::PeerEndpoint;
 use thornbridge_proto::peer::membership::{MemberRecord, MemberState};
 use thornbridge_proto::{Incarnation, NodeName};
+use views::freshness::Freshness;
 use views::peers::PeerViews;
 use views::registry::Registry;
 use views::source::SourceReader;
@@ -113,10 +114,9 @@
     ready: bool,
     stopping: bool,
     next_warming: Timestamp,
-    /// Whether this node is one of those that find a silent watch for the others.
-    quick_watcher: bool,
-    /// When a peer last told of its views.
-    peer_heard: Timestamp,
+    freshness: Freshness,
+    /// Whether other members are named to join through, and this node is none of them.
+    joins_through_others: bool,
 }
 
 impl Gateway {
@@ -133,6 +133,8 @@
             state: MemberState::Alive,
         };
         let views = &parameters.views;
+        let own_address = setup.endpoint.address;
+        let joins_through_others = !setup.seeds.is_empty() && !setup.seeds.contains(&own_address);
         Self {
             now: Timestamp::ZERO,
             random: Pcg64Mcg::seed_from_u64(setup.seed),
@@ -156,12 +158,12 @@
             budget: ExtraAttemptBudget::new(parameters.budget.clone()),
             exchanges: Exchanges::new(parameters.exchange.clone()),
             awaiting: Awaiting::default(),
+            freshness: Freshness::new(parameters.views.staleness_limit),
+            joins_through_others,
             parameters,
             ready: false,
             stopping: false,
             next_warming: Timestamp::ZERO,
-            quick_watcher: true,
-            peer_heard: Timestamp::ZERO,
         }
     }
 
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -7,14 +7,12 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ViewParameters {
-    /// Longest wait of a watch. A watch that has gone silent is found after it.
+    /// Age of views, since the store last confirmed them, at which a node reads the store itself.
+    pub staleness_limit: Duration,
+    /// Longest wait of a watch. Views are confirmed when it ends.
     pub watch_wait: Duration,
-    /// Members that keep to it. The others wait longer, since these tell them what is new.
-    pub quick_watchers: usize,
-    /// Longest wait of a watch of the others.
-    pub long_watch_wait: Duration,
-    /// Time without a word of a peer's views after which a long wait is broken off.
-    pub peer_silence: Duration,
+    /// Time between polls of the member that a node follows.
+    pub poll_interval: Duration,
     /// Pause after a watch that brought changes: more often follow, and each call has its price.
     pub coalescing: Duration,
     /// Time beyond the wait, or for a list, after which a read has failed.
@@ -39,16 +37,15 @@
 impl Default for ViewParameters {
     fn default() -> Self {
         Self {
-            watch_wait: Duration::from_millis(3_500),
-            quick_watchers: 3,
-            long_watch_wait: Duration::from_secs(15),
-            peer_silence: Duration::from_millis(3_000),
+            staleness_limit: Duration::from_millis(1_800),
+            watch_wait: Duration::from_millis(450),
+            poll_interval: Duration::from_millis(360),
             coalescing: Duration::from_millis(300),
             read_timeout: Duration::from_millis(1_000),
             first_read_timeout: Duration::from_millis(400),
             first_backoff: Duration::from_millis(100),
             longest_backoff: Duration::from_millis(1_000),
-            digest_interval: Duration::from_millis(1_000),
+            digest_interval: Duration::from_millis(2_000),
             digest_fanout: 3,
             departures_kept: Duration::from_secs(120),
             staging: Duration::from_millis(800),
@@ -72,9 +69,6 @@
     pub connections_maximum: u32,
     /// Weight of the newest observation of a server's speed.
     pub speed_weight: f64,
-    /// The same where it is slower than was known. Where many nodes share the work, each sees a
-    /// server seldom.
-    pub slowing_weight: f64,
     /// Half-life of what is known of a server's speed, while nothing is observed.
     pub speed_half_life: Duration,
     /// Cost of a server in another zone, beside its latency: bytes between zones are paid for.
@@ -113,6 +107,8 @@
     /// Time that an instance is still used, as a last choice, after its entry vanished without
     /// notice: the store may have lost entries that their servers write again within a heartbeat.
     pub vanished_grace: Duration,
+    /// The same, counted from when the store last confirmed that the entry was there.
+    pub vanished_unconfirmed: Duration,
     /// Answers from which a quantile of the work is taken.
     pub work_samples: usize,
 }
@@ -125,7 +121,6 @@
             replicas_wanted: 3,
             connections_maximum: 32,
             speed_weight: 0.2,
-            slowing_weight: 0.2,
             speed_half_life: Duration::from_secs(2),
             other_zone_cost: Duration::from_micros(1_500),
             other_region_cost: Duration::from_millis(5),
@@ -143,6 +138,7 @@
             settling: Duration::from_secs(3),
             members_memory: Duration::from_secs(20),
             vanished_grace: Duration::from_millis(1_800),
+            vanished_unconfirmed: Duration::from_millis(2_550),
             work_samples: 256,
         }
     }
@@ -241,20 +237,26 @@
     pub membership: crate::membership::MembershipParameters,
 }
 
-/// Part of the time in which a node counts as connected after which a silent watch is found.
-const WATCH_SHARE: f64 = 0.85;
+/// Part of the time in which a change must be in force after which views count as too old.
+const STALENESS_SHARE: f64 = 0.6;
+/// Part of that age that a watch waits.
+const WATCH_SHARE: f64 = 0.25;
+/// Part of that age between polls.
+const POLL_SHARE: f64 = 0.2;
 /// Part of the time to drain for which a server whose entry vanished is still a last choice.
 const VANISHED_SHARE: f64 = 0.6;
-/// Shortest wait of a watch.
-const LEAST_WATCH_WAIT: Duration = Duration::from_millis(500);
+/// Part of the time to drain, from when the store last confirmed its entry, after which it is none.
+const UNCONFIRMED_SHARE: f64 = 0.85;
 
 impl GatewayParameters {
-    /// Fits the views and servers to the operator's bounds: the time after which an undisturbed
-    /// node counts as connected, and the time after which a leaving server must get nothing.
-    pub fn fit(&mut self, contact: Duration, drain: Duration) {
-        let silent = contact.mul_f64(WATCH_SHARE);
-        let wait = silent.saturating_sub(self.views.read_timeout);
-        self.views.watch_wait = wait.max(LEAST_WATCH_WAIT);
+    /// Fits the views and servers to the operator's bounds: the time in which a configuration must be
+    /// in force, and the time after which a leaving server must get nothing.
+    pub fn fit(&mut self, in_force: Duration, drain: Duration) {
+        let limit = in_force.min(drain).mul_f64(STALENESS_SHARE);
+        self.views.staleness_limit = limit;
+        self.views.watch_wait = limit.mul_f64(WATCH_SHARE);
+        self.views.poll_interval = limit.mul_f64(POLL_SHARE);
         self.servers.vanished_grace = drain.mul_f64(VANISHED_SHARE);
+        self.servers.vanished_unconfirmed = drain.mul_f64(UNCONFIRMED_SHARE);
     }
 }
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -176,7 +176,7 @@
         self.close_idle_if_leaving(actions, key);
     }
 
-    /// An instance's entry is gone.
+    /// An instance's entry is gone; it was there when the store last confirmed this node's views.
     pub(super) fn departed(
         &mut self,
         now: Timestamp,
@@ -184,16 +184,19 @@
         id: &BackEndId,
         revision: StoreRevision,
         origin: ViewOrigin,
+        confirmed: Option<Timestamp>,
     ) {
         let Some(key) = self.by_id.get(id).copied() else {
             return;
         };
-        let grace = self.parameters.vanished_grace;
+        // It may have left long before this node heard of it.
+        let known = confirmed.unwrap_or(now) + self.parameters.vanished_unconfirmed;
+        let until = known.min(now + self.parameters.vanished_grace);
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
         server.availability = match server.availability {
-            Availability::Ready => Availability::Vanished { until: now + grace },
+            Availability::Ready => Availability::Vanished { until },
             Availability::Vanished { .. } => return,
             Availability::Draining | Availability::Gone => Availability::Gone,
         };
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -219,11 +219,8 @@
         let observed = ratio.clamp(SPEED_RANGE.0, SPEED_RANGE.1).ln();
         let (speed, at) = self.speed;
         let decayed = speed * half_life(now.since(at), parameters.speed_half_life);
-        let weight = match observed > decayed {
-            true => parameters.slowing_weight,
-            false => parameters.speed_weight,
-        };
-        self.speed = (decayed + (observed - decayed) * weight, now);
+        let speed = decayed + (observed - decayed) * parameters.speed_weight;
+        self.speed = (speed, now);
     }
 
     /// It failed in a way that costs this much.
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod budgets;
+mod freshness;
 mod registries;
 mod routing;
 mod sources;
--- a/crates/thornbridge-core/src/gateway/viewing.rs
+++ b/crates/thornbridge-core/src/gateway/viewing.rs
@@ -5,14 +5,19 @@
 use super::event::{SourceFailure, SourceReply, ViewKind, ViewObject};
 use super::routes::services_of;
 use super::staging::Staged;
+use super::views::peers::ViewAge;
 use super::views::registry::RegistryChange;
 use super::views::source::SourceNews;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use thornbridge_config::routes::RouteConfiguration;
 use thornbridge_proto::peer::view::{RegistryDelta, StoreRevision, ViewDigest, ViewMessage};
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 
+/// Time after a start in which a node that joins through others leaves the store to them.
+const JOINING: Duration = Duration::from_millis(700);
+
 impl Gateway {
     pub(super) fn digest(&self) -> ViewDigest {
         let known = self.configuration.as_ref();
@@ -24,13 +29,29 @@
         }
     }
 
-    /// Watches wait for long while other members watch closely and are heard.
-    pub(super) fn judge_patience(&mut self) {
-        let silence = self.now.since(self.peer_heard);
-        let heard = silence < self.parameters.views.peer_silence;
-        let patient = !self.quick_watcher && heard && self.knows_views();
+    /// What this node has, and when the store confirmed it.
+    pub(super) fn view_age(&self) -> ViewAge {
+        ViewAge {
+            digest: self.digest(),
+            confirmed: self.freshness.confirmed(),
+            now: self.now,
+        }
+    }
+
+    /// Reads the store, or leaves that to others while they do.
+    pub(super) fn judge_freshness(&mut self) {
+        let own = [&self.configuration_source, &self.registry_source];
+        let confirmed = own.map(|source| source.confirmed());
+        if let [Some(configuration), Some(registry)] = confirmed {
+            self.freshness.confirm(configuration.min(registry));
+        }
+        let digest = self.digest();
+        self.freshness.caught_up(digest);
+        let joining = self.joins_through_others && self.now.since_epoch() < JOINING;
+        let must_read = self.freshness.must_read(self.now) && !joining;
+        let following = self.knows_views() && !must_read;
         for source in [&mut self.configuration_source, &mut self.registry_source] {
-            source.set_patient(self.now, &mut self.actions, patient);
+            source.set_following(self.now, &mut self.actions, following);
         }
     }
 
@@ -163,8 +184,15 @@
                         .present(self.now, &mut self.actions, &instance, revision, origin);
                 }
                 RegistryChange::Departed(revision, id) => {
-                    self.servers
-                        .departed(self.now, &mut self.actions, &id, revision, origin);
+                    let confirmed = self.freshness.confirmed();
+                    self.servers.departed(
+                        self.now,
+                        &mut self.actions,
+                        &id,
+                        revision,
+                        origin,
+                        confirmed,
+                    );
                 }
             }
         }
@@ -259,11 +287,12 @@
 
     pub(super) fn view_message(&mut self, peer: SocketAddr, message: ViewMessage) {
         match message {
-            ViewMessage::Digest(theirs) => {
-                self.peer_heard = self.now;
-                let own = self.digest();
+            ViewMessage::Digest { digest, age_ms } => {
+                let age = Duration::from_millis(u64::from(age_ms));
+                let own = self.view_age();
+                self.freshness.heard(self.now, own.digest, digest, age);
                 self.peer_views
-                    .digest(self.now, &mut self.actions, peer, theirs, own);
+                    .digest(self.now, &mut self.actions, peer, digest, age, own);
             }
             ViewMessage::Pull(theirs) => self.pulled(peer, theirs),
             ViewMessage::Configuration { encoded, .. } => self.peer_configuration(&encoded),
@@ -306,9 +335,9 @@
 
     /// Tells a few peers of what is new here.
     pub(super) fn announce(&mut self) {
-        let digest = self.digest();
+        let own = self.view_age();
         self.peer_views
-            .announce(&mut self.random, &mut self.actions, digest);
+            .announce(&mut self.random, &mut self.actions, own);
     }
 
     pub(super) fn peer_registry(&mut self, delta: RegistryDelta) {
--- a/crates/thornbridge-core/src/gateway/views/peers.rs
+++ b/crates/thornbridge-core/src/gateway/views/peers.rs
@@ -1,9 +1,9 @@
 //! Comparing views with peers: digests, and pulls of what is lacking.
 //!
-//! A node tells a few peers at once when it learnt something from the store, and one peer drawn
-//! at random once in a while. Whoever is behind for longer than the store's own answer should
-//! take pulls what it lacks. So news reaches a node that the store does not serve within about a
-//! digest's interval, and costs others a few dozen bytes a second.
+//! A node tells a few peers at once when it learnt something, and one peer drawn at random once in a
+//! while; whoever is behind pulls what it lacks. Beside that, each node polls one of the members
+//! that stand before it in the order of readers ([`super::freshness`]), which answers with how long
+//! ago the store confirmed its views.
 
 use crate::gateway::action::GatewayAction;
 use crate::gateway::parameters::ViewParameters;
@@ -16,8 +16,10 @@
 use thornbridge_proto::peer::PeerMessage;
 use thornbridge_proto::peer::view::{StoreRevision, ViewDigest, ViewMessage};
 
-/// Time that the store's own answer may take before a peer is asked instead.
-const PULL_DELAY: Duration = Duration::from_millis(120);
+/// Members for each of which one relays what the reader knows.
+const MEMBERS_A_RELAY: usize = 32;
+/// How much fresher its views must be for a node to answer a digest.
+const FRESHER: Duration = Duration::from_millis(50);
 /// Time until a pull that brought nothing is made again.
 const PULL_AGAIN: Duration = Duration::from_millis(400);
 
@@ -33,6 +35,12 @@
 pub(in crate::gateway) struct PeerViews {
     parameters: ViewParameters,
     peers: Vec<SocketAddr>,
+    /// Members before this one in the order of readers that are polled, and the one that is.
+    polled: Vec<SocketAddr>,
+    poll_index: usize,
+    next_poll: Timestamp,
+    /// Confirmation that was known at the last poll.
+    confirmed_at_poll: Option<Timestamp>,
     next_digest: Timestamp,
     behind: Option<Behind>,
     /// When a node that knows nothing yet asks a peer again.
@@ -44,6 +52,10 @@
         Self {
             parameters,
             peers: Vec::new(),
+            polled: Vec::new(),
+            poll_index: 0,
+            next_poll: Timestamp::ZERO,
+            confirmed_at_poll: None,
             next_digest: Timestamp::ZERO,
             behind: None,
             next_pull: Timestamp::ZERO,
@@ -55,13 +67,43 @@
         self.peers = peers;
     }
 
+    /// Takes the order of readers and this node's place in it. The first members relay what the
+    /// reader knows, so that it is not asked by all.
+    pub(in crate::gateway) fn set_readers(&mut self, order: &[SocketAddr], rank: usize) {
+        let relays = order.len().div_ceil(MEMBERS_A_RELAY);
+        let before = &order[..rank.min(order.len())];
+        self.polled = match rank {
+            rank if rank <= relays => before.to_vec(),
+            // A member each, and the others if that one does not answer.
+            rank => {
+                let mut polled = before[1..=relays].to_vec();
+                polled.rotate_left(rank % relays);
+                polled.push(before[0]);
+                polled
+            }
+        };
+        self.poll_index = 0;
+    }
+
+    /// Asks a member before this one how fresh its views are; another one where the last did not
+    /// help.
+    fn poll(&mut self, actions: &mut VecDeque<GatewayAction>, own: ViewAge) {
+        if own.confirmed <= self.confirmed_at_poll {
+            self.poll_index += 1;
+        }
+        self.confirmed_at_poll = own.confirmed;
+        let index = self.poll_index % self.polled.len();
+        actions.push_back(send_digest(self.polled[index], own));
+    }
+
     /// When [`Self::timer_due`] wants to be called.
     pub(in crate::gateway) fn next_timeout(&self, own: ViewDigest) -> Option<Timestamp> {
         let asks = knows_nothing(own) && !self.peers.is_empty();
         let ask = asks.then_some(self.next_pull);
         let digest = (!self.peers.is_empty()).then_some(self.next_digest);
         let pull = self.behind.map(|behind| behind.pull_at);
-        [ask, digest, pull].into_iter().flatten().min()
+        let poll = (!self.polled.is_empty()).then_some(self.next_poll);
+        [ask, digest, pull, poll].into_iter().flatten().min()
     }
 
     /// Sends a digest and a pull where they are due.
@@ -70,12 +112,17 @@
         now: Timestamp,
         random: &mut Pcg64Mcg,
         actions: &mut VecDeque<GatewayAction>,
-        own: ViewDigest,
+        view: ViewAge,
     ) {
+        let own = view.digest;
+        if !self.polled.is_empty() && self.next_poll <= now {
+            self.next_poll = now + self.parameters.poll_interval;
+            self.poll(actions, view);
+        }
         if !self.peers.is_empty() && self.next_digest <= now {
             self.next_digest = now + self.parameters.digest_interval;
             if let Some(peer) = self.peers.choose(random) {
-                actions.push_back(send(*peer, ViewMessage::Digest(own)));
+                actions.push_back(send_digest(*peer, view));
             }
         }
         if knows_nothing(own) && !self.peers.is_empty() && self.next_pull <= now {
@@ -102,11 +149,11 @@
         &mut self,
         random: &mut Pcg64Mcg,
         actions: &mut VecDeque<GatewayAction>,
-        own: ViewDigest,
+        own: ViewAge,
     ) {
         let fanout = self.parameters.digest_fanout;
         for peer in self.peers.choose_multiple(random, fanout) {
-            actions.push_back(send(*peer, ViewMessage::Digest(own)));
+            actions.push_back(send_digest(*peer, own));
         }
     }
 
@@ -117,23 +164,21 @@
         actions: &mut VecDeque<GatewayAction>,
         peer: SocketAddr,
         theirs: ViewDigest,
-        own: ViewDigest,
+        their_age: Duration,
+        view: ViewAge,
     ) {
-        if is_behind(theirs, own) && !is_behind(own, theirs) {
-            // It hears of it, and pulls if the store does not tell it.
-            actions.push_back(send(peer, ViewMessage::Digest(own)));
+        let own = view.digest;
+        let ahead = is_behind(theirs, own) && !is_behind(own, theirs);
+        let fresher = view.age_at(now) + FRESHER <= their_age;
+        if ahead || (fresher && !is_behind(own, theirs)) {
+            actions.push_back(send_digest(peer, view));
         }
         if !is_behind(own, theirs) {
             return;
         }
-        // A node that knows nothing has nobody to wait for.
-        let delay = match own == ViewDigest::default() {
-            true => Duration::ZERO,
-            false => PULL_DELAY,
-        };
         let pull_at = match self.behind {
             Some(behind) => behind.pull_at.min(now + PULL_AGAIN),
-            None => now + delay,
+            None => now,
         };
         self.behind = Some(Behind {
             peer,
@@ -143,6 +188,20 @@
     }
 }
 
+/// What a node has, and when the store confirmed it.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::gateway) struct ViewAge {
+    pub(in crate::gateway) digest: ViewDigest,
+    pub(in crate::gateway) confirmed: Option<Timestamp>,
+    pub(in crate::gateway) now: Timestamp,
+}
+
+impl ViewAge {
+    fn age_at(&self, now: Timestamp) -> Duration {
+        self.confirmed.map_or(Duration::MAX / 2, |at| now.since(at))
+    }
+}
+
 /// Whether a view is not known at all.
 fn knows_nothing(own: ViewDigest) -> bool {
     own.configuration == 0 || own.registry == StoreRevision::default()
@@ -158,3 +217,10 @@
         message: PeerMessage::View(message),
     }
 }
+
+fn send_digest(to: SocketAddr, view: ViewAge) -> GatewayAction {
+    let age = view.age_at(view.now).as_millis();
+    let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+    let digest = view.digest;
+    send(to, ViewMessage::Digest { digest, age_ms })
+}
--- a/crates/thornbridge-core/src/gateway/views/source.rs
+++ b/crates/thornbridge-core/src/gateway/views/source.rs
@@ -20,6 +20,8 @@
 /// What a reader does now.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Doing {
+    /// Nothing: peers tell of changes.
+    Following,
     /// Nothing until then.
     Pausing(Timestamp),
     /// Waits for a page of the list.
@@ -50,11 +52,15 @@
     after: Option<String>,
     /// Revision to watch from; `None` where a list is needed.
     at: Option<StoreRevision>,
+    /// Whether an old list will do: the first one, which a watch or peers bring up to date.
+    stale_will_do: bool,
     failures: u32,
     last_answer: Timestamp,
     reachable: bool,
-    /// Whether peers are trusted to tell of a silent watch.
-    patient: bool,
+    /// Whether peers tell of changes, so that nothing is watched.
+    following: bool,
+    /// When the store last confirmed the view.
+    confirmed: Option<Timestamp>,
 }
 
 impl SourceReader {
@@ -68,10 +74,12 @@
             first_page: None,
             after: None,
             at: None,
+            stale_will_do: true,
             failures: 0,
             last_answer: Timestamp::ZERO,
             reachable: true,
-            patient: false,
+            following: false,
+            confirmed: None,
         }
     }
 
@@ -80,21 +88,24 @@
         self.parameters = parameters;
     }
 
-    /// Whether watches may wait for long. A long wait under way is broken off when they may not
-    /// any more.
-    pub(in crate::gateway) fn set_patient(
+    /// Whether peers tell of changes. A watch under way is not broken off; no other follows it.
+    pub(in crate::gateway) fn set_following(
         &mut self,
         now: Timestamp,
         actions: &mut VecDeque<GatewayAction>,
-        patient: bool,
+        following: bool,
     ) {
-        let broken_off = self.patient && !patient && matches!(self.doing, Doing::Watching(_));
-        self.patient = patient;
-        if broken_off {
+        self.following = following;
+        if !following && self.doing == Doing::Following {
             self.start(now, actions);
         }
     }
 
+    /// When the store last confirmed the view.
+    pub(in crate::gateway) fn confirmed(&self) -> Option<Timestamp> {
+        self.confirmed
+    }
+
     /// Time since the store last answered a read of this view.
     pub(in crate::gateway) fn age(&self, now: Timestamp) -> Duration {
         now.since(self.last_answer)
@@ -103,6 +114,7 @@
     /// When [`Self::timer_due`] wants to be called.
     pub(in crate::gateway) fn next_timeout(&self) -> Timestamp {
         match self.doing {
+            Doing::Following => Timestamp::MAX,
             Doing::Pausing(until) | Doing::Listing(until) | Doing::Watching(until) => until,
         }
     }
@@ -132,13 +144,14 @@
         read: u64,
         result: Result<SourceReply, SourceFailure>,
     ) -> Option<SourceNews> {
-        if read != self.read || matches!(self.doing, Doing::Pausing(_)) {
+        let asked = matches!(self.doing, Doing::Listing(_) | Doing::Watching(_));
+        if read != self.read || !asked {
             return None;
         }
         match result {
             Ok(reply) => {
                 self.answered(now, actions);
-                let news = self.take(reply);
+                let news = self.take(now, reply);
                 match &news {
                     Some(SourceNews::Changes(objects, _)) if !objects.is_empty() => {
                         self.doing = Doing::Pausing(now + self.parameters.coalescing);
@@ -160,7 +173,7 @@
         }
     }
 
-    fn take(&mut self, reply: SourceReply) -> Option<SourceNews> {
+    fn take(&mut self, now: Timestamp, reply: SourceReply) -> Option<SourceNews> {
         match reply {
             SourceReply::Page { objects, next, at } => {
                 self.pages.extend(objects);
@@ -171,9 +184,14 @@
                 }
                 self.at = Some(first);
                 self.first_page = None;
+                if !self.stale_will_do {
+                    self.confirmed = Some(now);
+                }
+                self.stale_will_do = false;
                 Some(SourceNews::Whole(std::mem::take(&mut self.pages), first))
             }
             SourceReply::Changes { objects, at } => {
+                self.confirmed = Some(now);
                 let known = self.at.unwrap_or_default();
                 self.at = Some(at.max(known));
                 Some(SourceNews::Changes(objects, at))
@@ -182,13 +200,14 @@
     }
 
     fn start(&mut self, now: Timestamp, actions: &mut VecDeque<GatewayAction>) {
+        if self.following && self.at.is_some() {
+            self.doing = Doing::Following;
+            return;
+        }
         self.read += 1;
         let (what, timeout) = match self.at {
             Some(from) => {
-                let wait = match self.patient {
-                    true => self.parameters.long_watch_wait,
-                    false => self.parameters.watch_wait,
-                };
+                let wait = self.parameters.watch_wait;
                 let timeout = wait + self.parameters.read_timeout;
                 self.doing = Doing::Watching(now + timeout);
                 (SourceRead::Watch { from, wait }, timeout)
@@ -199,7 +218,8 @@
                 let timeout = timeout.min(self.parameters.read_timeout);
                 self.doing = Doing::Listing(now + timeout);
                 let after = self.after.clone();
-                (SourceRead::List { after }, timeout)
+                let stale = self.stale_will_do;
+                (SourceRead::List { after, stale }, timeout)
             }
         };
         actions.push_back(GatewayAction::Read {
--- a/crates/thornbridge-proto/src/peer/view.rs
+++ b/crates/thornbridge-proto/src/peer/view.rs
@@ -1,9 +1,9 @@
 //! Replicated views: the route configuration and the registry of server instances, each at a
 //! revision.
 //!
-//! Every node reads both from the platform's store. Beside that, nodes compare revisions and pull
-//! what they lack, so that one that the store refuses still learns every change. A node never
-//! replaces a view by an older one.
+//! One node reads both from the platform's store for all. Nodes compare revisions and pull what they
+//! lack, and tell each other how long ago the store confirmed what they have; one that hears of no
+//! recent confirmation reads the store itself. A node never replaces a view by an older one.
 
 use crate::{BackEndId, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -72,7 +72,12 @@
     /// What the sender has. Whoever has less answers with [`Self::Pull`]; whoever has more
     /// answers with its own digest.
     #[serde(rename = "d")]
-    Digest(ViewDigest),
+    Digest {
+        /// What it has.
+        digest: ViewDigest,
+        /// Milliseconds since the store confirmed that; the greatest number where it never did.
+        age_ms: u32,
+    },
     /// The sender has this and wants what is newer.
     #[serde(rename = "p")]
     Pull(ViewDigest),
--- a/crates/thornbridge-rehearsal/src/gateway/world/serving.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/serving.rs
@@ -191,7 +191,7 @@
             StoreCondition::Up => {}
         }
         match what {
-            SourceRead::List { after } => {
+            SourceRead::List { after, .. } => {
                 let page = self.store.list(kind, after.as_deref());
                 self.store_answer(node, life, kind, read, Ok(page));
             }
--- a/crates/thornbridge-rehearsal/tests/gateway/alone.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/alone.rs
@@ -218,3 +218,48 @@
     );
     assert!(report.served_share() > 0.97, "{report:?}");
 }
+
+#[test]
+fn one_member_reads_the_store_for_all() {
+    let report = sound(21, Vec::new());
+    // One reader with two watches of 0.45 s, over 30 s, and what a start costs.
+    assert!(report.store_calls < 260, "{} calls", report.store_calls);
+}
+
+#[test]
+fn whoever_reads_the_store_may_be_refused() {
+    for node in 0..8 {
+        let refuses = GatewayFault::StoreRefuses {
+            node,
+            lasts: seconds(14.0),
+        };
+        let vanishes = GatewayFault::Replace {
+            server: 3,
+            silent: true,
+        };
+        sound(
+            22,
+            vec![
+                TimedFault::at(1.0, refuses),
+                TimedFault::at(1.1, GatewayFault::NewVersion),
+                TimedFault::at(6.0, GatewayFault::NewVersion),
+                TimedFault::at(7.0, vanishes),
+            ],
+        );
+    }
+}
+
+#[test]
+fn the_first_five_members_may_be_refused_at_once() {
+    let mut faults = Vec::new();
+    for node in 0..5 {
+        let refuses = GatewayFault::StoreRefuses {
+            node,
+            lasts: seconds(14.0),
+        };
+        faults.push(TimedFault::at(1.0, refuses));
+    }
+    faults.push(TimedFault::at(1.05, GatewayFault::NewVersion));
+    faults.push(TimedFault::at(5.0, GatewayFault::NewVersion));
+    sound(23, faults);
+}
