--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -40,7 +40,7 @@
 use thornbridge_proto::peer::view::StoreRevision;
 
 /// Times that a request waits in this node for as long as its answer: on its way in and out.
-const DELAYED_WAYS: u32 = 2;
+const DELAYED_WAYS: u32 = 3;
 /// Patience of a caller that gives none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(30);
 
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -183,7 +183,7 @@
         Self {
             caller_delay: Duration::from_millis(3),
             answer_margin: Duration::from_millis(5),
-            delay_share_maximum: 0.35,
+            delay_share_maximum: 0.5,
             hedge_quantile: 0.9,
             hedge_minimum: Duration::from_millis(2),
             hedge_initial_share: 0.25,
