--- a/crates/thornbridge-core/src/gateway/action.rs
+++ b/crates/thornbridge-core/src/gateway/action.rs
@@ -306,6 +306,15 @@
         /// Why.
         cause: &'static str,
     },
+    /// This node begins to read the store itself, or leaves that to others.
+    Reading {
+        /// Whether it reads.
+        reads: bool,
+        /// Its place in the order of readers.
+        rank: usize,
+        /// Age of its views since the store last confirmed them; `None` where it never did.
+        age: Option<Duration>,
+    },
     /// Members that share the budgets.
     Members {
         /// Number.
--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -186,7 +186,7 @@
                     leg.state = LegState::Answered(reply);
                 }
             }
-            (outcome, reply) => self.attempt_failed(&mut request, record.leg, outcome, reply),
+            (outcome, reply) => self.attempt_failed(&mut request, record, outcome, reply),
         }
         self.requests.insert(caller, request);
         self.advance(scope, caller);
@@ -195,13 +195,19 @@
     fn attempt_failed(
         &self,
         request: &mut Request,
-        index: usize,
+        record: &Attempt,
         outcome: AttemptOutcome,
         reply: Option<Box<ServerReply>>,
     ) {
+        let index = record.leg;
         let leg = &mut request.legs[index];
         leg.failure = Some(outcome);
-        if matches!(
+        let never_left = outcome == AttemptOutcome::NotRun && reply.is_none();
+        if never_left {
+            // It counts against no limit, and its server may get the part yet.
+            leg.sent -= 1;
+            leg.tried.retain(|server| *server != record.carrier.server);
+        } else if matches!(
             outcome,
             AttemptOutcome::NotRun | AttemptOutcome::WrongInstance
         ) {
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -115,6 +115,8 @@
     stopping: bool,
     next_warming: Timestamp,
     freshness: Freshness,
+    /// Whether this node reads the store itself.
+    reads: bool,
     /// Whether other members are named to join through, and this node is none of them.
     joins_through_others: bool,
 }
@@ -159,6 +161,7 @@
             exchanges: Exchanges::new(parameters.exchange.clone()),
             awaiting: Awaiting::default(),
             freshness: Freshness::new(parameters.views.staleness_limit),
+            reads: true,
             joins_through_others,
             parameters,
             ready: false,
--- a/crates/thornbridge-core/src/gateway/tests/answers.rs
+++ b/crates/thornbridge-core/src/gateway/tests/answers.rs
@@ -1,6 +1,6 @@
 //! When requests are answered, and with what.
 
-use super::support::{Harness, answer, gather, millis, route, service, verdict};
+use super::support::{Harness, SentAttempt, answer, gather, millis, route, service, verdict};
 use crate::gateway::{ExchangeFailure, GatewayAnswer, GatewayEvent, RefusalPromise, ReplyVerdict};
 use thornbridge_config::routes::Repeatability::{AtMostOnce, Repeatable};
 
@@ -160,3 +160,31 @@
             .all(|sent| sent.patience <= millis(620))
     );
 }
+
+#[test]
+fn a_part_that_never_left_waits_for_a_connection_instead_of_failing() {
+    let routes = vec![route("/all/", gather(&["a", "b"], 1.0), Repeatable)];
+    let mut harness = Harness::serving(routes, &[("i-1", "a"), ("i-2", "b")]);
+    let caller = harness.ask("/all/x");
+    let first = harness.sent_for(caller);
+    let attempt = |sent: &[SentAttempt], id: &str| {
+        let found = sent.iter().rev().find(|sent| sent.instance == id);
+        found.expect("an attempt").attempt
+    };
+    harness.reply(attempt(&first, "i-2"), answer(b"0000000000000002"));
+    // The server of the other shard has closed the connection.
+    harness.event(GatewayEvent::Failed {
+        attempt: attempt(&first, "i-1"),
+        failure: ExchangeFailure::NotSent,
+    });
+    assert!(!harness.answers.contains_key(&caller));
+    harness.wait(millis(500));
+    let again = harness.sent_for(caller);
+    assert!(again.len() > first.len(), "{again:?}");
+    harness.reply(attempt(&again, "i-1"), answer(b"0000000000000001"));
+    let gathered = &harness.answers[&caller];
+    assert!(matches!(
+        gathered,
+        GatewayAnswer::Gathered { missing: 0, .. }
+    ));
+}
--- a/crates/thornbridge-core/src/gateway/viewing.rs
+++ b/crates/thornbridge-core/src/gateway/viewing.rs
@@ -50,11 +50,26 @@
         let joining = self.joins_through_others && self.now.since_epoch() < JOINING;
         let must_read = self.freshness.must_read(self.now) && !joining;
         let following = self.knows_views() && !must_read;
+        self.tell_reading(!following);
         for source in [&mut self.configuration_source, &mut self.registry_source] {
             source.set_following(self.now, &mut self.actions, following);
         }
     }
 
+    fn tell_reading(&mut self, reads: bool) {
+        if reads == self.reads {
+            return;
+        }
+        self.reads = reads;
+        let confirmed = self.freshness.confirmed();
+        let change = GatewayChange::Reading {
+            reads,
+            rank: self.freshness.rank(),
+            age: confirmed.map(|at| self.now.since(at)),
+        };
+        self.actions.push_back(GatewayAction::Changed(change));
+    }
+
     pub(super) fn read_sources(&mut self) {
         for source in [&mut self.configuration_source, &mut self.registry_source] {
             source.timer_due(self.now, &mut self.random, &mut self.actions);
--- a/crates/thornbridge-core/src/gateway/views/freshness.rs
+++ b/crates/thornbridge-core/src/gateway/views/freshness.rs
@@ -82,6 +82,11 @@
         self.confirmed
     }
 
+    /// This node's place in the order of readers.
+    pub(in crate::gateway) fn rank(&self) -> usize {
+        self.rank
+    }
+
     /// Time since then.
     pub(in crate::gateway) fn age(&self, now: Timestamp) -> Duration {
         self.confirmed.map_or(Duration::MAX, |at| now.since(at))
--- a/crates/thornbridge-node/src/gateway/log_lines.rs
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -104,6 +104,12 @@
         GatewayChange::Trust { id, avoided, cause } => {
             log::info!(id = id.as_str(), avoided = *avoided, cause = *cause; "server trust");
         }
+        GatewayChange::Reading { reads, rank, age } => log::info!(
+            reads = *reads,
+            rank = *rank,
+            age_ms:? = age.map(millis);
+            "store reader"
+        ),
         GatewayChange::Members { members } => log::info!(members = *members; "members"),
         GatewayChange::Lifecycle { state } => log::info!(state = *state; "node"),
     }
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -167,6 +167,8 @@
             GatewayChange::Source { .. } => "store_unreachable",
             GatewayChange::Trust { avoided: true, .. } => "server_avoided",
             GatewayChange::Trust { .. } => "server_trusted",
+            GatewayChange::Reading { reads: true, .. } => "store_reading",
+            GatewayChange::Reading { .. } => "store_following",
             GatewayChange::Members { .. } => "members",
             GatewayChange::Lifecycle { state } => state,
         };
