--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -60,9 +60,9 @@
     /// Share of a server's connections that all nodes together use. Below a half, since machines
     /// that lose power leave theirs to the server for a while, and come back for new ones.
     pub connection_share: f64,
-    /// Share of a server's connections that is given out where not every node can have one. At
-    /// most a half: servers keep the connections of machines that lost power for a while, and those
-    /// come back for new ones.
+    /// Share of a server's connections that is given out where not every node can have one. The
+    /// rest is for nodes that others do not know yet, and for second choices. A half would leave
+    /// room for machines that come back after a power loss, and costs more on all other days.
     pub subset_share: f64,
     /// Servers of a service that a node wants to be connected to, where not all are open to it.
     pub replicas_wanted: u32,
@@ -118,7 +118,7 @@
     fn default() -> Self {
         Self {
             connection_share: 0.45,
-            subset_share: 0.5,
+            subset_share: 0.8,
             replicas_wanted: 3,
             connections_maximum: 32,
             speed_weight: 0.2,
