--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -50,7 +50,7 @@
             let service = leg.service;
             let settling = scope.now.since_epoch() < self.parameters.settling;
             let none = !scope.servers.has_server(service) && !settling;
-            if none || leg.ran() > 0 {
+            if none || leg.sent > 0 {
                 leg.state = LegState::Failed;
             } else {
                 // Its servers cannot be reached or are not registered; one may be soon.
--- a/crates/thornbridge-core/src/gateway/tests/answers.rs
+++ b/crates/thornbridge-core/src/gateway/tests/answers.rs
@@ -188,3 +188,13 @@
         GatewayAnswer::Gathered { missing: 0, .. }
     ));
 }
+
+#[test]
+fn a_request_that_every_server_refused_is_refused_at_once() {
+    let routes = vec![route("/", service("a"), Repeatable)];
+    let mut harness = Harness::serving(routes, &[("i-1", "a")]);
+    let caller = harness.ask("/x");
+    let attempt = harness.sent_for(caller)[0].attempt;
+    harness.reply(attempt, verdict(ReplyVerdict::NotRun));
+    assert_eq!(harness.refused(caller), Some(RefusalPromise::NotRun));
+}
