Servers: a busy server's cost counts the connections that this node has, not only its slots

Cause: where a node has one connection to a server of three slots, one part on it left the server looking free; parts queued on that connection while a replica farther away was idle. Ruled out: slow servers (the same servers answered other nodes at once) and the budget (nothing denied). Change: the queue is counted against the smaller of slots and own connections; opening one is a cost only where it is allowed. Test: a_server_whose_only_connection_here_is_busy_..., seen failing first.

--- a/crates/thornbridge-core/src/gateway/servers/choosing.rs
+++ b/crates/thornbridge-core/src/gateway/servers/choosing.rs
@@ -85,7 +85,10 @@
     fn cost(&self, now: Timestamp, server: &Server, work: Duration, silent: bool) -> Duration {
         let parameters = &self.parameters;
         let speed = server.speed(parameters, now);
-        let queue = server.queue(now) / f64::from(server.slots);
+        let limit = self.services[server.service.0 as usize].own_connections;
+        // A node with fewer connections than the server has slots waits for these.
+        let lanes = server.slots.min(limit.max(1));
+        let queue = server.queue(now, lanes) / f64::from(lanes);
         let mut cost = server.round_trip() + work.mul_f64(speed * (1.0 + queue));
         cost += match server.distance {
             Distance::SameZone => Duration::ZERO,
@@ -96,7 +99,7 @@
         if silent {
             cost += parameters.silence_cost;
         }
-        if server.resting.is_empty() {
+        if server.resting.is_empty() && server.open + server.opening < limit.max(1) {
             cost += server.round_trip() + ACCEPT_COST;
         }
         if matches!(server.availability, Availability::Vanished { .. }) {
--- a/crates/thornbridge-core/src/gateway/servers/connections.rs
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -43,6 +43,12 @@
 impl Servers {
     /// Connections that this node may have to a server.
     fn connection_limit(&mut self, now: Timestamp, service: ServiceKey) -> u32 {
+        let limit = self.compute_connection_limit(now, service);
+        self.services[service.0 as usize].own_connections = limit;
+        limit
+    }
+
+    fn compute_connection_limit(&mut self, now: Timestamp, service: ServiceKey) -> u32 {
         if now.since_epoch() < self.parameters.settling {
             return 1;
         }
@@ -123,6 +129,9 @@
         actions: &mut VecDeque<GatewayAction>,
     ) {
         self.reassign(now);
+        for index in 0..self.services.len() as u32 {
+            self.connection_limit(now, ServiceKey(index));
+        }
         let services: Vec<ServiceKey> = self.kept_warm.iter().copied().collect();
         for service in services {
             for key in self.cold_servers(now, service) {
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -49,6 +49,8 @@
     servers: Vec<ServerKey>,
     /// Connections that each server takes from all callers together, where it is known.
     connections: Option<u32>,
+    /// Connections that this node may have to each server.
+    own_connections: u32,
 }
 
 /// All servers.
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -281,8 +281,9 @@
         self.load = Some((load, now));
     }
 
-    /// Requests beyond its slots, of this node and, where it told, of others.
-    pub(super) fn queue(&self, now: Timestamp) -> f64 {
+    /// Requests beyond those that it works on at once for this node (`lanes`), of this node and,
+    /// where it told, of others.
+    pub(super) fn queue(&self, now: Timestamp, lanes: u32) -> f64 {
         let own = (self.outstanding.len() + self.waiting.len()) as f64;
         let reported = self
             .load
@@ -291,7 +292,9 @@
                 let freshness = 1.0 - now.since(at).as_secs_f64() / LOAD_LIFETIME.as_secs_f64();
                 f64::from(load.running.saturating_sub(1) + load.waiting) * freshness
             });
-        (own.max(reported) + 1.0 - f64::from(self.slots)).max(0.0)
+        let own = (own + 1.0 - f64::from(lanes)).max(0.0);
+        let reported = (reported + 1.0 - f64::from(self.slots)).max(0.0);
+        own.max(reported)
     }
 
     /// Whether an attempt there is silent for longer than it should be.
--- a/crates/thornbridge-core/src/gateway/tests/subsets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/subsets.rs
@@ -5,14 +5,16 @@
 use crate::gateway::GatewayAction;
 use crate::gateway::ServerParameters;
 use crate::gateway::action::ViewOrigin;
-use crate::gateway::servers::{Placement, Servers, Sharer};
+use crate::gateway::servers::{OpenOutcome, Placement, Servers, Sharer};
 use crate::time::Timestamp;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_config::routes::RoutedService;
 use thornbridge_proto::peer::view::{InstanceState, StoreRevision};
-use thornbridge_proto::{RegionName, ServiceName, ZoneName};
+use thornbridge_proto::{AttemptId, RegionName, ServiceName, ZoneName};
 
 const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 const REPLICAS: usize = 3;
@@ -216,3 +218,38 @@
     let again = again.filter(|action| matches!(action, GatewayAction::Open { .. }));
     assert_eq!(again.count(), 1);
 }
+
+#[test]
+fn a_server_whose_only_connection_here_is_busy_is_no_better_than_a_free_one_farther_away() {
+    // 13 connections of a server for 8 nodes: one for this node, fewer than the server's slots.
+    let mut node = Node::new(0, 1, 13);
+    node.opens(after(5_000), 8);
+    let opened: Vec<_> = node.actions.iter().filter_map(opening).collect();
+    for (connection, address) in opened {
+        let near = address == server_address(0, 0);
+        let took = Duration::from_millis(if near { 1 } else { 10 });
+        node.servers.opened(after(5_010), connection, took);
+    }
+    let now = after(5_100);
+    let work = Duration::from_millis(20);
+    let service = node.servers.service(&ServiceName::new("shard-0"));
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let near = node.servers.choose(now, &mut random, service, work, &[]);
+    let near = near.unwrap().server;
+    let connection = node.servers.connection_for(now, &mut node.actions, near);
+    assert!(matches!(connection, OpenOutcome::Resting(_)));
+    let server = node.servers.get_mut(near).unwrap();
+    server.sent(now, AttemptId(1), work);
+    let next = node.servers.choose(now, &mut random, service, work, &[]);
+    assert_ne!(next.unwrap().server, near);
+}
+
+fn opening(action: &GatewayAction) -> Option<(ConnectionId, SocketAddr)> {
+    match action {
+        GatewayAction::Open {
+            connection,
+            address,
+        } => Some((*connection, *address)),
+        _ => None,
+    }
+}
