Requests that cannot be served yet: a first try is told at once when to come back, a later one is kept

A caller comes back once only. Requests that had waited for the first configuration also began their patience anew when it came. Ruled out: the registry (88 of 88 entries known with the first list) and servers (idle). Change: patience.rs tells first tries from later ones by the patience that callers state (the longest, stated twice). While no configuration is known, or too few of a request's services have a registered server, a first try is refused at once with a quarter of its patience as Retry-After; a later one waits until its caller leaves. Times count from the arrival.

--- a/crates/thornbridge-core/src/gateway/awaiting.rs
+++ b/crates/thornbridge-core/src/gateway/awaiting.rs
@@ -1,10 +1,12 @@
 //! Requests that came before any configuration was known.
 //!
 //! A node that has just started knows a configuration within milliseconds, unless the store is
-//! away. Its callers wait for a bounded part of their patience; then they are told when to come
-//! back, with enough time left for that.
+//! away. Then a caller's first try is told when to come back: at once where it is known to be the
+//! first, else after a bounded part of its patience. A later try waits until its caller leaves,
+//! since its caller does not come again.
 
 use super::event::RequestHead;
+use super::patience::{CallerTry, PatienceByKind};
 use crate::driver_action::CallerId;
 use crate::time::Timestamp;
 use std::collections::BTreeMap;
@@ -12,6 +14,10 @@
 
 /// Patience of a caller that gives none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
+/// Time after a start in which the views come where the store answers.
+const VIEWS_COME: Duration = Duration::from_millis(150);
+/// Part of a caller's patience after which a later try is over: it could not be served any more.
+const LATER_TRY_SHARE: f64 = 0.97;
 
 /// A request that waits for a configuration.
 #[derive(Clone, Debug)]
@@ -22,23 +28,49 @@
     until: Timestamp,
 }
 
+impl AwaitingRequest {
+    fn patience(&self) -> Duration {
+        self.head.patience.unwrap_or(DEFAULT_PATIENCE)
+    }
+
+    /// When its caller cannot be served any more.
+    fn over(&self) -> Timestamp {
+        self.arrived + self.patience().mul_f64(LATER_TRY_SHARE)
+    }
+}
+
 /// All requests that wait for a configuration.
 #[derive(Debug, Default)]
 pub(super) struct Awaiting {
     requests: BTreeMap<CallerId, AwaitingRequest>,
+    patience: PatienceByKind,
 }
 
 impl Awaiting {
-    /// Takes a request, for this share of its patience.
-    pub(super) fn add(&mut self, now: Timestamp, caller: CallerId, head: RequestHead, share: f64) {
+    /// Takes a request, for this share of its patience where it is not a later try. Gives it back
+    /// where its caller is to be told at once to come back.
+    #[must_use]
+    pub(super) fn add(
+        &mut self,
+        now: Timestamp,
+        caller: CallerId,
+        head: RequestHead,
+        share: f64,
+    ) -> Option<AwaitingRequest> {
         let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
+        self.patience.observe(&head, patience);
         let request = AwaitingRequest {
             caller,
             head,
             arrived: now,
             until: now + patience.mul_f64(share),
         };
+        let first = self.patience.judge(&request.head, patience) == CallerTry::First;
+        if first && now.since_epoch() >= VIEWS_COME {
+            return Some(request);
+        }
         self.requests.insert(caller, request);
+        None
     }
 
     /// Requests that wait.
@@ -56,8 +88,18 @@
         self.requests.values().map(|request| request.until).min()
     }
 
-    /// Those that have waited for long enough.
+    /// Those that have waited for long enough. A later try waits on.
     pub(super) fn take_overdue(&mut self, now: Timestamp) -> Vec<AwaitingRequest> {
+        let patience = &self.patience;
+        for request in self.requests.values_mut() {
+            let over = request.over();
+            if request.until > now || request.until >= over {
+                continue;
+            }
+            if patience.judge(&request.head, request.patience()) == CallerTry::Later {
+                request.until = over;
+            }
+        }
         let overdue = self
             .requests
             .values()
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -49,7 +49,8 @@
             let leg = &mut request.legs[index];
             let service = leg.service;
             let settling = scope.now.since_epoch() < self.parameters.settling;
-            let none = !scope.servers.has_server(service) && !settling;
+            let may_come = settling || request.is_last_try;
+            let none = !scope.servers.has_server(service) && !may_come;
             if none || leg.sent > 0 {
                 leg.state = LegState::Failed;
             } else {
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -23,6 +23,7 @@
 use super::budget::{ExtraAttemptBudget, ServiceKey};
 use super::event::RequestHead;
 use super::parameters::ExchangeParameters;
+use super::patience::CallerTry;
 use super::routes::{ResolvedRoute, ResolvedTarget, RouteTable};
 use super::servers::{ServerKey, Servers};
 use crate::driver_action::{CallerId, ConnectionId};
@@ -111,23 +112,35 @@
         caller: CallerId,
         head: RequestHead,
         route: Arc<ResolvedRoute>,
+        arrived: Timestamp,
     ) {
         let id = head.id.clone().unwrap_or_default();
+        let retry_after = self.parameters.retry_after;
         if self.requests.len() >= self.parameters.requests_maximum {
-            self.refuse_unstarted(scope, caller, &id, &route, RefusalReason::Overloaded);
+            let reason = RefusalReason::Overloaded;
+            self.refuse_unstarted(scope, caller, &id, &route, reason, retry_after);
             return;
         }
+        let times = self.times(scope, &head, &route, arrived);
         let services = choose_services(scope, &route);
+        if times.caller_try == CallerTry::First
+            && let Some(reason) = unregistered(scope, &route, &services)
+        {
+            let share = self.parameters.retry_after_share;
+            let retry_after = times.patience.mul_f64(share).max(retry_after);
+            self.refuse_unstarted(scope, caller, &id, &route, reason, retry_after);
+            return;
+        }
         for service in &services {
             scope.budget.request(scope.now, *service);
         }
-        let times = self.times(scope, &head, &route);
         let legs = services.into_iter().map(Leg::new).collect();
         let request = Request {
             caller,
             id,
             route,
-            arrived: scope.now,
+            arrived,
+            is_last_try: times.caller_try == CallerTry::Later,
             answer_by: times.answer_by,
             ends: times.ends,
             legs,
@@ -217,6 +230,7 @@
         id: &str,
         route: &ResolvedRoute,
         reason: RefusalReason,
+        retry_after: Duration,
     ) {
         let note = RequestNote::unstarted(
             id.to_owned(),
@@ -226,7 +240,7 @@
             reason,
         );
         scope.actions.push_back(GatewayAction::Finished(note));
-        let retry_after = Some(self.parameters.retry_after);
+        let retry_after = Some(retry_after);
         let promise = RefusalPromise::NotRun;
         let answer = GatewayAnswer::Refused {
             reason,
@@ -239,13 +253,19 @@
     }
 
     /// When an answer is due, and when the final one.
-    fn times(&self, scope: &mut Scope<'_>, head: &RequestHead, route: &ResolvedRoute) -> Times {
+    fn times(
+        &self,
+        scope: &mut Scope<'_>,
+        head: &RequestHead,
+        route: &ResolvedRoute,
+        arrived: Timestamp,
+    ) -> Times {
         let parameters = &self.parameters;
         let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
         let statistics = scope.routes.statistics(route.key);
-        // A caller that tries again has less patience by what the earlier try took.
-        statistics.longest_patience = statistics.longest_patience.max(patience);
-        let spent = statistics.longest_patience - patience;
+        statistics.patience.observe(patience);
+        let spent = statistics.patience.spent(patience);
+        let caller_try = statistics.patience.judge(patience);
         let way = match head.first_on_connection {
             true => parameters.caller_delay * 4,
             false => parameters.caller_delay * 2,
@@ -260,13 +280,17 @@
             .saturating_sub(parameters.caller_delay * 2)
             .min(route.route.time_limit);
         Times {
-            answer_by: scope.now + answer_in,
-            ends: scope.now + ends_in,
+            patience,
+            caller_try,
+            answer_by: arrived + answer_in,
+            ends: arrived + ends_in,
         }
     }
 }
 
 struct Times {
+    patience: Duration,
+    caller_try: CallerTry,
     answer_by: Timestamp,
     ends: Timestamp,
 }
@@ -283,6 +307,22 @@
     }
 }
 
+/// Why a request cannot be served: too few of its services have a registered server.
+fn unregistered(
+    scope: &Scope<'_>,
+    route: &ResolvedRoute,
+    services: &[ServiceKey],
+) -> Option<RefusalReason> {
+    let served = services
+        .iter()
+        .filter(|key| scope.servers.has_server(**key));
+    let (least, reason) = match &route.target {
+        ResolvedTarget::Gather(gather) => (gather.least_parts, RefusalReason::TooFewShards),
+        ResolvedTarget::Service(_) | ResolvedTarget::Split(_) => (1, RefusalReason::NoServer),
+    };
+    (served.count() < least).then_some(reason)
+}
+
 /// Whether a route's requests may run more than once.
 fn repeatable(route: &ResolvedRoute) -> bool {
     route.route.repeatability == Repeatability::Repeatable
--- a/crates/thornbridge-core/src/gateway/exchange/request.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -15,6 +15,8 @@
     pub(super) id: String,
     pub(super) route: Arc<ResolvedRoute>,
     pub(super) arrived: Timestamp,
+    /// Whether its caller tried before, and so does not come back.
+    pub(super) is_last_try: bool,
     /// When an answer has to leave to be worth most.
     pub(super) answer_by: Timestamp,
     /// When the final answer has to leave.
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -17,8 +17,6 @@
 const WARMING_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after a start at which a node is ready though some shards have no connection.
 const READY_ANYWAY: Duration = Duration::from_millis(1_500);
-/// Least time after which a caller comes back to a node that knows no configuration.
-const LEAST_RETRY_WITHOUT_CONFIGURATION: Duration = Duration::from_millis(50);
 
 impl Gateway {
     /// Takes one event. `now` must not go back.
@@ -142,7 +140,11 @@
         } = request;
         let waited = self.now.since(arrived);
         let left = head.patience.unwrap_or_default().saturating_sub(waited);
-        let retry_after = Some((left / 4).max(LEAST_RETRY_WITHOUT_CONFIGURATION));
+        let share = self.parameters.exchange.retry_after_share;
+        let retry_after = left
+            .mul_f64(share)
+            .max(self.parameters.exchange.retry_after);
+        let retry_after = Some(retry_after);
         let reason = RefusalReason::NoConfiguration;
         self.refuse(caller, &head, reason, RefusalPromise::NotRun, retry_after);
     }
@@ -183,7 +185,7 @@
         }
         if self.knows_views() {
             for waiting in self.awaiting.take_all() {
-                self.request(waiting.caller, waiting.head);
+                self.route(waiting.caller, waiting.head, waiting.arrived);
             }
         }
         let ready = self.may_serve();
@@ -206,11 +208,18 @@
     }
 
     fn request(&mut self, caller: CallerId, head: RequestHead) {
-        if !self.knows_views() {
-            let share = self.parameters.exchange.awaiting_share;
-            self.awaiting.add(self.now, caller, head, share);
+        if self.knows_views() {
+            self.route(caller, head, self.now);
             return;
         }
+        let share = self.parameters.exchange.awaiting_share;
+        if let Some(request) = self.awaiting.add(self.now, caller, head, share) {
+            self.refuse_without_configuration(request);
+        }
+    }
+
+    /// Starts a request that arrived then, on its route.
+    fn route(&mut self, caller: CallerId, head: RequestHead, arrived: Timestamp) {
         if head.id.is_none() {
             let reason = RefusalReason::NoIdentity;
             self.refuse(caller, &head, reason, RefusalPromise::BadRequest, None);
@@ -222,7 +231,7 @@
             return;
         };
         let (exchanges, mut scope) = self.exchanges();
-        exchanges.start(&mut scope, caller, head, route);
+        exchanges.start(&mut scope, caller, head, route, arrived);
     }
 
     fn refuse(
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod handling;
 mod members;
 mod parameters;
+mod patience;
 mod routes;
 mod servers;
 mod staging;
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -57,8 +57,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ServerParameters {
-    /// Share of a server's connections that all nodes together use. Below a half, since machines
-    /// that lose power leave theirs to the server for a while, and come back for new ones.
+    /// Share of a server's connections that all nodes together use. The rest is for machines that
+    /// lost power: they leave theirs to the server for a while, and come back for new ones.
     pub connection_share: f64,
     /// Share of a server's connections that is given out where not every node can have one. The
     /// rest is for nodes that others do not know yet, and for second choices. A half would leave
@@ -167,8 +167,11 @@
     /// Time after a caller left before its attempts are cut off. Most end by themselves, and a
     /// connection is dear.
     pub gone_grace: Duration,
-    /// When a refused caller is to come back.
+    /// When a refused caller is to come back, at the soonest.
     pub retry_after: Duration,
+    /// When one that cannot be served yet is to come back, as a share of its patience: late, since
+    /// it comes back once only, and early enough to be served then.
+    pub retry_after_share: f64,
     /// Share of a caller's patience for which its request waits while no configuration or registry
     /// is known.
     pub awaiting_share: f64,
@@ -191,6 +194,7 @@
             look_interval: Duration::from_millis(5),
             gone_grace: Duration::from_millis(250),
             retry_after: Duration::from_millis(100),
+            retry_after_share: 0.25,
             awaiting_share: 0.35,
             settling: Duration::from_secs(3),
             requests_maximum: 400,
--- a/crates/thornbridge-core/src/gateway/routes.rs
+++ b/crates/thornbridge-core/src/gateway/routes.rs
@@ -1,6 +1,7 @@
 //! The configuration in force, resolved: which route a request takes.
 
 use super::budget::ServiceKey;
+use super::patience::StatedPatience;
 use super::servers::Servers;
 use super::work::WorkEstimate;
 use std::collections::{BTreeMap, BTreeSet};
@@ -46,8 +47,8 @@
     pub(super) work: WorkEstimate,
     /// Current weights of a split's parts (smooth weighted round robin).
     pub(super) split_credit: Vec<f64>,
-    /// Longest time that a caller said it waits: what a first attempt of a caller has.
-    pub(super) longest_patience: std::time::Duration,
+    /// What callers say that they wait.
+    pub(super) patience: StatedPatience,
 }
 
 /// The configuration in force.
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's parts: properties against simple oracles, and the rules of each.
 
 mod answers;
+mod awaiting;
 mod budgets;
 mod delays;
 mod freshness;
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -237,19 +237,32 @@
     }
 
     pub fn ask(&mut self, path: &str) -> CallerId {
+        self.ask_with(path, millis(2_000))
+    }
+
+    /// A request whose caller waits this long.
+    pub fn ask_with(&mut self, path: &str, patience: Duration) -> CallerId {
         self.next_caller += 1;
         let caller = CallerId(self.next_caller);
         let head = RequestHead {
             id: Some(format!("request-{}", self.next_caller)),
             host: "host".to_owned(),
             path: path.to_owned(),
-            patience: Some(millis(2_000)),
+            patience: Some(patience),
             first_on_connection: false,
         };
         self.event(GatewayEvent::Request { caller, head });
         caller
     }
 
+    /// When a refused caller is to come back.
+    pub fn comes_back(&self, caller: CallerId) -> Option<Duration> {
+        match self.answers.get(&caller) {
+            Some(GatewayAnswer::Refused { retry_after, .. }) => *retry_after,
+            _ => None,
+        }
+    }
+
     /// The attempts of a caller that were sent.
     pub fn sent_for(&self, caller: CallerId) -> Vec<SentAttempt> {
         let sent = self.sent.iter().filter(|sent| sent.caller == caller);
