Connections: 0.7 of a server's connections are given out, was 0.45

Hypothesis: with 31 connections and 9 nodes 0.45 gives each node one connection to a server of three slots; the busiest node waits for it.

--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -117,7 +117,7 @@
 impl Default for ServerParameters {
     fn default() -> Self {
         Self {
-            connection_share: 0.45,
+            connection_share: 0.7,
             subset_share: 0.8,
             replicas_wanted: 3,
             connections_maximum: 32,
