--- a/crates/thornbridge-core/src/gateway/action.rs
+++ b/crates/thornbridge-core/src/gateway/action.rs
@@ -157,6 +157,8 @@
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptOutcome {
+    /// Never sent: it waited for a connection of the server when the request was answered.
+    Waiting,
     /// Not at all, when the request was answered.
     Open,
     /// With a usable answer.
@@ -177,6 +179,7 @@
     /// Name for logs.
     pub fn as_str(self) -> &'static str {
         match self {
+            Self::Waiting => "waiting",
             Self::Open => "open",
             Self::Answered => "answered",
             Self::ServerFailure => "server_failure",
--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -160,6 +160,19 @@
         notable: &mut Vec<AttemptNote>,
     ) {
         let unanswered = request.legs.iter().filter(|leg| !leg.is_answered());
+        let queued = unanswered.clone().filter_map(|leg| leg.queued_at());
+        for (server, cause) in queued {
+            let Some(server) = scope.servers.get(server) else {
+                continue;
+            };
+            notable.push(AttemptNote {
+                server: server.id.clone(),
+                sent_after: scope.now.since(request.arrived),
+                cause,
+                outcome: AttemptOutcome::Waiting,
+                took: None,
+            });
+        }
         for attempt in unanswered.flat_map(|leg| &leg.open) {
             let Some(record) = self.attempts.get(attempt) else {
                 continue;
--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -10,7 +10,7 @@
 };
 use crate::gateway::event::{ExchangeFailure, ReplyVerdict, ServerReply};
 use crate::gateway::routes::RouteKey;
-use crate::gateway::servers::ServerKey;
+use crate::gateway::servers::{Loss, ServerKey};
 use crate::time::Timestamp;
 use std::time::Duration;
 use thornbridge_proto::AttemptId;
@@ -70,7 +70,7 @@
             return;
         };
         let Carrier { server, connection } = record.carrier;
-        scope.servers.forget_connection(connection);
+        scope.servers.broke(scope.now, connection);
         let outcome = match failure {
             ExchangeFailure::NotSent => AttemptOutcome::NotRun,
             ExchangeFailure::MayHaveRun => AttemptOutcome::Broken,
@@ -96,17 +96,26 @@
         }
     }
 
+    /// Connections that were being proved may carry requests.
+    pub(in crate::gateway) fn connections_proved(&mut self, scope: &mut Scope<'_>) {
+        for server in scope.servers.proved(scope.now) {
+            self.serve_waiting(scope, server);
+        }
+    }
+
     /// A connection was lost, or could not be opened.
     pub(in crate::gateway) fn connection_lost(
         &mut self,
         scope: &mut Scope<'_>,
         connection: ConnectionId,
     ) {
-        let Some((server, never_opened)) = scope.servers.lost(scope.now, connection) else {
+        let Some((server, loss)) = scope.servers.lost(scope.now, connection) else {
             return;
         };
-        if never_opened {
+        if loss == Loss::Unreachable {
             self.tell_trust(scope, server, "unreachable");
+        }
+        if loss != Loss::Rested {
             self.strand_waiting(scope, server);
         }
         scope.servers.forget_if_over(server);
@@ -281,7 +290,7 @@
                     "failed",
                 );
             }
-            AttemptOutcome::Open | AttemptOutcome::Broken => {}
+            AttemptOutcome::Waiting | AttemptOutcome::Open | AttemptOutcome::Broken => {}
         }
     }
 
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -47,15 +47,13 @@
         let look_interval = self.parameters.look_interval;
         let Some(choice) = self.choose(scope, request, index) else {
             let leg = &mut request.legs[index];
-            let service = leg.service;
             let settling = scope.now.since_epoch() < self.parameters.settling;
-            let may_come = settling || request.is_last_try;
-            let none = !scope.servers.has_server(service) && !may_come;
-            if none || leg.sent > 0 {
-                leg.state = LegState::Failed;
-            } else {
+            let may_come = leg.sent == 0 && (settling || request.is_last_try);
+            if may_come || scope.servers.has_other_server(leg.service, &leg.tried) {
                 // Its servers cannot be reached or are not registered; one may be soon.
                 leg.look_at = Some(scope.now + look_interval * 2);
+            } else {
+                leg.state = LegState::Failed;
             }
             return;
         };
@@ -110,8 +108,9 @@
     /// Takes an extra attempt from the budget. Where there is none, the part waits for it or, for
     /// a plain request, is over.
     fn pay(&mut self, scope: &mut Scope<'_>, request: &mut Request, index: usize) -> bool {
-        let service = request.legs[index].service;
-        if scope.budget.try_take(scope.now, service) {
+        let leg = &mut request.legs[index];
+        if leg.paid || scope.budget.try_take(scope.now, leg.service) {
+            leg.paid = true;
             return true;
         }
         request.denied += 1;
@@ -162,6 +161,7 @@
         leg.open.push(attempt);
         leg.tried.push(carrier.server);
         leg.sent += 1;
+        leg.paid = false;
         leg.look_at = may_hedge.then_some(hedge_at);
         scope.actions.push_back(GatewayAction::Send {
             connection: carrier.connection,
@@ -191,6 +191,9 @@
             .choose(scope.now, scope.random, service, work, &excluded);
         request.legs[index].look_at = Some(scope.now + interval);
         let Some(other) = other.filter(|other| !other.silent) else {
+            scope
+                .servers
+                .open_for_waiting(scope.now, scope.actions, queued_at);
             return;
         };
         let waiting = request.waiting(index);
--- a/crates/thornbridge-core/src/gateway/exchange/leg.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/leg.rs
@@ -41,6 +41,8 @@
     pub(super) failure: Option<AttemptOutcome>,
     /// A server's own failure, to be passed on when nothing better comes.
     pub(super) failed_reply: Option<Box<ServerReply>>,
+    /// Whether an extra attempt was taken from the budget and not sent yet.
+    pub(super) paid: bool,
     /// Whether the budget once denied it an attempt.
     pub(super) denied: bool,
 }
@@ -57,6 +59,7 @@
             look_at: None,
             failure: None,
             failed_reply: None,
+            paid: false,
             denied: false,
         }
     }
@@ -73,6 +76,14 @@
         self.is_answered() || self.is_failed()
     }
 
+    /// The server at which it waits for a connection, and why it does.
+    pub(super) fn queued_at(&self) -> Option<(ServerKey, AttemptCause)> {
+        match self.state {
+            LegState::Queued(server, cause) => Some((server, cause)),
+            _ => None,
+        }
+    }
+
     /// Servers on which it ran or may have run.
     pub(super) fn ran(&self) -> u32 {
         self.sent - self.not_run
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -127,6 +127,7 @@
             self.refuse_without_configuration(request);
         }
         let (exchanges, mut scope) = self.exchanges();
+        exchanges.connections_proved(&mut scope);
         exchanges.timer_due(&mut scope);
     }
 
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -57,8 +57,8 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ServerParameters {
-    /// Share of a server's connections that all nodes together use. The rest is for machines that
-    /// lost power: they leave theirs to the server for a while, and come back for new ones.
+    /// Share of a server's connections that all nodes together use. Below a half, since machines
+    /// that lose power leave theirs to the server for a while, and come back for new ones.
     pub connection_share: f64,
     /// Share of a server's connections that is given out where not every node can have one. The
     /// rest is for nodes that others do not know yet, and for second choices. A half would leave
@@ -117,7 +117,7 @@
 impl Default for ServerParameters {
     fn default() -> Self {
         Self {
-            connection_share: 0.7,
+            connection_share: 0.45,
             subset_share: 0.8,
             replicas_wanted: 3,
             connections_maximum: 32,
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -5,11 +5,12 @@
 
 mod choosing;
 mod connections;
+mod scarcity;
 mod server;
 mod subset;
 
 pub(super) use choosing::Choice;
-pub(super) use connections::{Connection, OpenOutcome};
+pub(super) use connections::{Connection, Loss, OpenOutcome};
 pub(super) use server::{Availability, Server, Waiting};
 pub(super) use subset::Sharer;
 
@@ -19,6 +20,7 @@
 use super::window::MaximumWindow;
 use crate::driver_action::ConnectionId;
 use crate::time::Timestamp;
+use scarcity::Scarcity;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use subset::Subset;
@@ -60,6 +62,7 @@
     placement: Placement,
     members: MaximumWindow,
     subset: Subset,
+    scarcity: Scarcity,
     next_key: u32,
     next_connection: u64,
     servers: BTreeMap<ServerKey, Server>,
@@ -76,6 +79,7 @@
         let step = parameters.members_memory / MEMBER_STEPS;
         Self {
             subset: Subset::new(own, &placement),
+            scarcity: Scarcity::new(parameters.scarcity_window),
             parameters,
             placement,
             members: MaximumWindow::new(step, MEMBER_STEPS),
@@ -133,6 +137,13 @@
         self.of_service(service).any(Server::takes_requests)
     }
 
+    /// Whether a service has a server that takes requests beside these.
+    pub(super) fn has_other_server(&self, service: ServiceKey, tried: &[ServerKey]) -> bool {
+        let keys = &self.services[service.0 as usize].servers;
+        let mut others = keys.iter().filter(|key| !tried.contains(key));
+        others.any(|key| self.get(*key).is_some_and(Server::takes_requests))
+    }
+
     /// Whether a server of the service has an open connection.
     pub(super) fn is_warm(&self, service: ServiceKey) -> bool {
         self.of_service(service)
@@ -226,7 +237,8 @@
 
     /// When [`Self::timer_due`] wants to be called.
     pub(super) fn next_timeout(&self) -> Option<Timestamp> {
-        self.servers.values().filter_map(Server::vanishes_at).min()
+        let vanishing = self.servers.values().filter_map(Server::vanishes_at);
+        vanishing.chain(self.scarcity.next_timeout()).min()
     }
 
     /// Ends the grace of instances that did not register again.
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -7,6 +7,7 @@
 mod freshness;
 mod registries;
 mod routing;
+mod scarcity;
 mod sources;
 mod subsets;
 mod support;
--- a/crates/thornbridge-core/src/gateway/tests/sources.rs
+++ b/crates/thornbridge-core/src/gateway/tests/sources.rs
@@ -30,6 +30,58 @@
     ]
 }
 
+#[test]
+fn readers_that_started_together_read_at_different_times_while_the_store_is_silent() {
+    let mut starts: Vec<Timestamp> = Vec::new();
+    // Two views of nine nodes.
+    for seed in 0..18 {
+        let mut reader = SourceReader::new(ViewKind::Registry, ViewParameters::default());
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut actions = VecDeque::new();
+        let mut now = Timestamp::ZERO;
+        while now.since_epoch() < Duration::from_secs(3) {
+            reader.timer_due(now, &mut random, &mut actions);
+            if !actions.is_empty() && now.since_epoch() >= Duration::from_secs(1) {
+                starts.push(now);
+            }
+            actions.clear();
+            now = reader.next_timeout();
+        }
+    }
+    starts.sort();
+    let gaps = starts.windows(2).map(|pair| pair[1].since(pair[0]));
+    let longest = gaps.max().unwrap();
+    assert!(
+        longest <= Duration::from_millis(250),
+        "none for {longest:?}"
+    );
+}
+
+#[test]
+fn the_last_of_many_readers_pause_longer_after_failures() {
+    let reads = |rank: usize| {
+        let mut reader = SourceReader::new(ViewKind::Registry, ViewParameters::default());
+        reader.set_rank(rank);
+        let mut random = Pcg64Mcg::seed_from_u64(1);
+        let mut actions = VecDeque::new();
+        let mut now = Timestamp::ZERO;
+        let mut reads = 0;
+        while now.since_epoch() < Duration::from_secs(20) {
+            reader.timer_due(now, &mut random, &mut actions);
+            reads += actions.len();
+            actions.clear();
+            now = reader.next_timeout();
+        }
+        reads
+    };
+    assert!(
+        reads(40) * 3 < reads(0) * 2,
+        "{} of {}",
+        reads(40),
+        reads(0)
+    );
+}
+
 proptest! {
     #[test]
     fn reads_are_bounded_whatever_the_store_does(behaviour in prop::collection::vec(store(), 1..60)) {
--- a/crates/thornbridge-core/src/gateway/views/source.rs
+++ b/crates/thornbridge-core/src/gateway/views/source.rs
@@ -16,6 +16,16 @@
 
 /// Failures in a row beyond which the pause does not grow.
 const MOST_DOUBLINGS: u32 = 8;
+/// Failures in a row after which a list is given twice the time.
+const FAILURES_PER_TIMEOUT: u32 = 6;
+/// Least part of a pause while nothing is known: nodes that started together are to read at
+/// different times, so that one of them meets the store soon after it is back.
+const LEAST_FIRST_PAUSE: f64 = 0.1;
+/// Least part of a pause otherwise.
+const LEAST_PAUSE: f64 = 0.5;
+/// Members in the order of readers after which a node pauses twice as long: calls that fail are
+/// priced too, and whoever succeeds tells the others.
+const RANKS_PER_PAUSE: f64 = 8.0;
 
 /// What a reader does now.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,6 +71,8 @@
     following: bool,
     /// When the store last confirmed the view.
     confirmed: Option<Timestamp>,
+    /// This node's place in the order of readers.
+    rank: usize,
 }
 
 impl SourceReader {
@@ -80,9 +92,15 @@
             reachable: true,
             following: false,
             confirmed: None,
+            rank: 0,
         }
     }
 
+    /// Takes this node's place in the order of readers; 0 reads for all.
+    pub(in crate::gateway) fn set_rank(&mut self, rank: usize) {
+        self.rank = rank;
+    }
+
     /// Takes new tunable values, for the next read on.
     pub(in crate::gateway) fn set_parameters(&mut self, parameters: ViewParameters) {
         self.parameters = parameters;
@@ -213,7 +231,7 @@
                 (SourceRead::Watch { from, wait }, timeout)
             }
             None => {
-                let doublings = (self.failures / 2).min(MOST_DOUBLINGS);
+                let doublings = (self.failures / FAILURES_PER_TIMEOUT).min(MOST_DOUBLINGS);
                 let timeout = self.parameters.first_read_timeout * 2_u32.pow(doublings);
                 let timeout = timeout.min(self.parameters.read_timeout);
                 self.doing = Doing::Listing(now + timeout);
@@ -254,14 +272,32 @@
         self.pages.clear();
         self.first_page = None;
         self.after = None;
-        let doublings = self.failures.min(MOST_DOUBLINGS);
+        let pause = self
+            .backoff()
+            .mul_f64(random.random_range(self.least_pause()..=1.0));
         self.failures += 1;
-        let pause = self.parameters.first_backoff * 2_u32.pow(doublings);
-        let pause = pause.min(self.parameters.longest_backoff);
-        let pause = pause.mul_f64(random.random_range(0.5..=1.0));
         self.doing = Doing::Pausing(now + pause);
     }
 
+    /// Longest pause after this failure.
+    fn backoff(&self) -> Duration {
+        let parameters = &self.parameters;
+        let doublings = self.failures.min(MOST_DOUBLINGS);
+        let pause = match self.at {
+            None => parameters.unknown_backoff,
+            Some(_) => parameters.first_backoff * 2_u32.pow(doublings),
+        };
+        let pause = pause.min(parameters.longest_backoff);
+        pause.mul_f64(1.0 + self.rank as f64 / RANKS_PER_PAUSE)
+    }
+
+    fn least_pause(&self) -> f64 {
+        match self.at {
+            None => LEAST_FIRST_PAUSE,
+            Some(_) => LEAST_PAUSE,
+        }
+    }
+
     fn tell(
         &self,
         now: Timestamp,
