--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -22,6 +22,8 @@
     pub first_read_timeout: Duration,
     /// First pause after a read that failed; doubled with each.
     pub first_backoff: Duration,
+    /// Pause after a read that failed while nothing is known; it does not grow.
+    pub unknown_backoff: Duration,
     /// Longest pause between reads.
     pub longest_backoff: Duration,
     /// Time between exchanges of digests with one peer drawn at random.
@@ -44,6 +46,7 @@
             read_timeout: Duration::from_millis(1_000),
             first_read_timeout: Duration::from_millis(400),
             first_backoff: Duration::from_millis(100),
+            unknown_backoff: Duration::from_millis(600),
             longest_backoff: Duration::from_millis(1_000),
             digest_interval: Duration::from_millis(2_000),
             digest_fanout: 3,
@@ -101,6 +104,10 @@
     /// The same for connections beyond the first to a server: they are left of a burst, and a
     /// machine that loses power leaves them to the server for a while.
     pub spare_idle_time: Duration,
+    /// Time that a connection is kept after use while servers refuse others: all nodes share them.
+    pub scarce_idle_time: Duration,
+    /// Time for which a refused connection is remembered.
+    pub scarcity_window: Duration,
     /// Time after a start in which other members may not be known: one connection a server.
     pub settling: Duration,
     /// Time for which the highest number of members counts.
@@ -136,6 +143,8 @@
             refused_pause_maximum: Duration::from_secs(20),
             idle_time: Duration::from_secs(20),
             spare_idle_time: Duration::from_secs(4),
+            scarce_idle_time: Duration::from_millis(50),
+            scarcity_window: Duration::from_secs(2),
             settling: Duration::from_secs(3),
             members_memory: Duration::from_secs(20),
             vanished_grace: Duration::from_millis(1_800),
