Connections: a fresh one is proved before it carries a request, and few are shared

The reset comes one round trip after opening. Ruled out: servers (idle) and the registry (known at once). After a start, and while refusals are seen, a fresh connection carries nothing for its round trip and 4 ms: a refusal is then no attempt, and its part goes elsewhere. While a fifth of the fresh connections is refused, one is closed 50 ms after use, so that all nodes share the few there are, and none is opened ahead of use. A part whose other servers cannot be reached yet waits for them instead of failing; an extra attempt that was paid for is paid once, however often it waits anew; what waits at a server opens a connection when that is allowed again.

--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/tests/scarcity.rs
@@ -0,0 +1,100 @@
+//! Servers that accept a connection and reset it at once, since they have too many.
+
+use super::support::{Harness, answer, answer_all, gather, millis, route};
+use crate::gateway::{ExchangeFailure, GatewayEvent};
+use thornbridge_config::routes::Repeatability::Repeatable;
+
+const ONE: &[u8] = b"0000000000000001";
+
+/// Two shards of two servers each, to each of which the only open connection is busy.
+fn busy() -> Harness {
+    let target = gather(&["a", "b"], 1.0);
+    let servers = [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")];
+    let mut harness = Harness::serving(vec![route("/", target, Repeatable)], &servers);
+    harness.ask("/x");
+    harness.ask("/x");
+    harness
+}
+
+/// The same, after a server refused a connection.
+fn refusing() -> Harness {
+    let mut harness = busy();
+    harness.refuse_next(1);
+    harness.ask("/x");
+    harness.wait(millis(10));
+    harness
+}
+
+#[test]
+fn nothing_is_written_to_a_fresh_connection_while_servers_refuse_some() {
+    let mut harness = refusing();
+    let caller = harness.ask("/x");
+    harness.wait(millis(4));
+    assert_eq!(harness.sent_for(caller).len(), 0);
+    harness.wait(millis(20));
+    assert_eq!(harness.sent_for(caller).len(), 2);
+}
+
+#[test]
+fn a_fresh_connection_is_used_at_once_where_none_was_refused() {
+    let mut harness = busy();
+    let caller = harness.ask("/x");
+    assert_eq!(harness.sent_for(caller).len(), 2);
+}
+
+#[test]
+fn a_refused_connection_is_no_attempt() {
+    let mut harness = refusing();
+    harness.refuse_next(2);
+    let caller = harness.ask("/x");
+    harness.wait(millis(60));
+    let sent = harness.sent_for(caller);
+    assert_eq!(sent.len(), 2, "each part went to its other server");
+    for attempt in sent {
+        harness.reply(attempt.attempt, answer(ONE));
+    }
+    assert!(harness.answers.contains_key(&caller));
+    assert!(harness.refused(caller).is_none());
+}
+
+#[test]
+fn a_part_waits_for_a_server_that_cannot_be_reached_yet() {
+    let mut harness = refusing();
+    let caller = harness.ask("/x");
+    harness.wait(millis(20));
+    let sent = harness.sent_for(caller);
+    harness.refuse_next(1_000);
+    let failure = ExchangeFailure::MayHaveRun;
+    for attempt in &sent {
+        let attempt = attempt.attempt;
+        harness.event(GatewayEvent::Failed { attempt, failure });
+    }
+    harness.wait(millis(100));
+    assert!(!harness.answers.contains_key(&caller));
+    harness.refuse_next(0);
+    harness.wait(millis(800));
+    assert_eq!(harness.sent_for(caller).len(), 4);
+}
+
+#[test]
+fn a_connection_is_kept_for_a_moment_only_while_many_are_refused() {
+    let mut harness = busy();
+    for _ in 0..3 {
+        harness.refuse_next(2);
+        harness.ask("/x");
+        harness.wait(millis(330));
+    }
+    answer_all(&mut harness);
+    harness.wait(millis(400));
+    let used = harness.sent.iter().map(|sent| sent.connection);
+    let kept: Vec<_> = used.filter(|used| harness.open.contains(used)).collect();
+    assert!(kept.is_empty(), "{kept:?} are kept after use");
+}
+
+#[test]
+fn a_connection_is_kept_where_none_is_refused() {
+    let mut harness = busy();
+    answer_all(&mut harness);
+    harness.wait(millis(2_000));
+    assert_eq!(harness.open.len(), 4);
+}
