Second attempts: as late as they still come in time, not earlier than usual work is over

Bytes between regions were the greatest price that can be saved, and the attempts load the servers. Change: the delay is at least what is left until the answer is due, less twice what an attempt at the nearest other server takes (hedge_reserve). Tests: tests/hedges.rs; the second fails without the change (7 ms, of 89 that are left).

--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -105,8 +105,8 @@
         }
     }
 
-    /// Takes an extra attempt from the budget. Where there is none, the part waits for it or, for
-    /// a plain request, is over.
+    /// Takes an extra attempt from the budget. Where there is none, the part waits for it; a plain
+    /// request with nothing under way is over, unless its caller does not come back.
     fn pay(&mut self, scope: &mut Scope<'_>, request: &mut Request, index: usize) -> bool {
         let leg = &mut request.legs[index];
         if leg.paid || scope.budget.try_take(scope.now, leg.service) {
@@ -117,12 +117,10 @@
         let waits = request.is_gather();
         let leg = &mut request.legs[index];
         leg.denied = true;
-        if waits {
+        if waits || !leg.open.is_empty() {
             leg.look_at = Some(scope.now + self.parameters.look_interval * 4);
-        } else if leg.open.is_empty() {
-            leg.state = LegState::Failed;
         } else {
-            leg.look_at = Some(scope.now + self.parameters.look_interval * 4);
+            leg.state = LegState::Failed;
         }
         false
     }
@@ -288,6 +286,7 @@
         let Some(work) = statistics.work.quantile(parameters.hedge_quantile) else {
             return objective.mul_f64(parameters.hedge_initial_share);
         };
+        let spare = self.spare_time(scope, request, server, work);
         let Some(server) = scope.servers.get(server) else {
             return work;
         };
@@ -295,7 +294,25 @@
         let speed = server
             .speed(&scope.servers.parameters, scope.now)
             .clamp(0.7, 1.5);
-        (server.round_trip() + work.mul_f64(speed)).max(parameters.hedge_minimum)
+        let usual = (server.round_trip() + work.mul_f64(speed)).max(parameters.hedge_minimum);
+        usual.max(spare)
+    }
+
+    /// Time after which a second attempt would still come in time, with a reserve: until then the
+    /// first may answer, and costs nothing more.
+    fn spare_time(
+        &self,
+        scope: &Scope<'_>,
+        request: &Request,
+        server: ServerKey,
+        work: Duration,
+    ) -> Duration {
+        let Some(way) = scope.servers.round_trip_beside(server) else {
+            return Duration::ZERO;
+        };
+        let needed = way + work;
+        let reserve = needed.mul_f64(self.parameters.hedge_reserve);
+        request.answer_by.since(scope.now).saturating_sub(reserve)
     }
 
     /// A server has a resting connection: sends what waits for it.
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -167,6 +167,8 @@
     pub delay_share_maximum: f64,
     /// Quantile of the work after which a second attempt is made.
     pub hedge_quantile: f64,
+    /// Time that is kept for a second attempt before an answer is due, in times that it usually takes.
+    pub hedge_reserve: f64,
     /// Least time before a second attempt.
     pub hedge_minimum: Duration,
     /// Share of the latency objective that a second attempt waits before anything is learnt.
@@ -198,6 +200,7 @@
             answer_margin: Duration::from_millis(5),
             delay_share_maximum: 0.5,
             hedge_quantile: 0.9,
+            hedge_reserve: 2.0,
             hedge_minimum: Duration::from_millis(2),
             hedge_initial_share: 0.25,
             look_interval: Duration::from_millis(5),
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -23,6 +23,7 @@
 use scarcity::Scarcity;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
+use std::time::Duration;
 use subset::Subset;
 use thornbridge_config::routes::RoutedService;
 use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
@@ -150,6 +151,16 @@
             .any(|server| server.takes_requests() && server.open > 0)
     }
 
+    /// Round trip to the nearest server of the same service beside this one.
+    pub(super) fn round_trip_beside(&self, key: ServerKey) -> Option<Duration> {
+        let service = self.servers.get(&key)?.service;
+        let keys = self.services[service.0 as usize].servers.iter();
+        let others = keys.filter(|other| **other != key);
+        let others = others.filter_map(|other| self.servers.get(other));
+        let taking = others.filter(|server| server.takes_requests());
+        taking.map(Server::round_trip).min()
+    }
+
     /// Number of servers that take requests.
     pub(super) fn taking_requests(&self) -> usize {
         let servers = self.servers.values();
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod delays;
 mod freshness;
+mod hedges;
 mod registries;
 mod routing;
 mod scarcity;
