Plain requests: a later try that a server refused waits for the budget

Change: where the caller tried before, the request looks for budget again until its end; a first try is still told at once to come back. Test: a_later_try_that_a_server_refused_waits_for_the_budget, seen failing first.

--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -114,7 +114,7 @@
             return true;
         }
         request.denied += 1;
-        let waits = request.is_gather();
+        let waits = request.is_gather() || request.is_last_try;
         let leg = &mut request.legs[index];
         leg.denied = true;
         if waits || !leg.open.is_empty() {
--- a/crates/thornbridge-core/src/gateway/tests/awaiting.rs
+++ b/crates/thornbridge-core/src/gateway/tests/awaiting.rs
@@ -1,7 +1,11 @@
 //! Requests that cannot be served yet: which are told to come back, and which are kept.
 
-use super::support::{Harness, answer_all, configuration, gather, instance, millis, route};
-use crate::gateway::{RefusalPromise, ViewKind, ViewObject};
+use super::support::{
+    Harness, answer_all, configuration, gather, instance, millis, route, service, verdict,
+};
+use crate::gateway::{
+    GatewayEvent, GatewayParameters, RefusalPromise, ReplyVerdict, ViewKind, ViewObject,
+};
 use std::time::Duration;
 use thornbridge_config::routes::Repeatability::Repeatable;
 use thornbridge_proto::peer::view::{InstanceState, StoreRevision};
@@ -109,6 +113,38 @@
     assert!(harness.sent_for(caller).is_empty());
 }
 
+fn with_budget(harness: &mut Harness, ratio: f64) {
+    let mut parameters = GatewayParameters::default();
+    parameters.budget.ratio = ratio;
+    parameters.budget.slack = 0.0;
+    let parameters = Box::new(parameters);
+    harness.event(GatewayEvent::Reconfigured { parameters });
+}
+
+#[test]
+fn a_later_try_that_a_server_refused_waits_for_the_budget() {
+    let routes = vec![route("/", service("s"), Repeatable)];
+    let mut harness = Harness::serving(routes, &[("s1", "s"), ("s2", "s")]);
+    with_budget(&mut harness, 0.0);
+    for _ in 0..2 {
+        harness.ask("/x");
+        answer_all(&mut harness);
+    }
+    let first = harness.ask("/x");
+    let refused = harness.sent_for(first)[0].attempt;
+    harness.reply(refused, verdict(ReplyVerdict::NotRun));
+    assert_eq!(harness.refused(first), Some(RefusalPromise::NotRun));
+
+    let later = harness.ask_with("/x", millis(1_500));
+    let refused = harness.sent_for(later)[0].attempt;
+    harness.reply(refused, verdict(ReplyVerdict::NotRun));
+    harness.wait(millis(300));
+    assert!(!harness.answers.contains_key(&later));
+    with_budget(&mut harness, 1.0);
+    harness.wait(millis(50));
+    assert_eq!(harness.sent_for(later).len(), 2);
+}
+
 #[test]
 fn a_later_try_waits_for_shards_that_are_not_registered() {
     let mut harness = serving_one_of_two_shards();
