Servers: a server that answers seldom is judged by its last few answers

A node of 67 sees about one answer of a server a second; with the newest weighing 0.2 and a half-life of 2 s it never learns that the server is slow. Ruled out: budget (nothing denied in these seconds) and processor time (0.01 of a core). Change: after more than 200 ms without an observation the newest weighs as much as those that were missed; one observation changes the logarithm of the speed by 0.7 at most, so that a single pause makes no slow server. Tests: tests/speeds.rs; the first of three seen failing without the change.

--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -73,6 +73,9 @@
     pub connections_maximum: u32,
     /// Weight of the newest observation of a server's speed.
     pub speed_weight: f64,
+    /// Time between observations of a server for which the weight holds; after longer times the
+    /// newest weighs as much as those that were missed.
+    pub speed_interval: Duration,
     /// Half-life of what is known of a server's speed, while nothing is observed.
     pub speed_half_life: Duration,
     /// Cost of a server in another zone, beside its latency: bytes between zones are paid for.
@@ -129,6 +132,7 @@
             replicas_wanted: 3,
             connections_maximum: 32,
             speed_weight: 0.2,
+            speed_interval: Duration::from_millis(200),
             speed_half_life: Duration::from_secs(2),
             other_zone_cost: Duration::from_micros(1_500),
             other_region_cost: Duration::from_millis(5),
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -11,6 +11,9 @@
 use thornbridge_proto::peer::view::Instance;
 use thornbridge_proto::{AttemptId, BackEndId, ServiceName, ZoneName};
 
+/// Most that one observation changes the logarithm of a speed: a single pause is no slow server,
+/// two slow answers in a row are.
+const SPEED_STEP: f64 = 0.7;
 /// Slowest and fastest speed that is believed, as a factor on the usual work.
 const SPEED_RANGE: (f64, f64) = (0.2, 8.0);
 /// Extra work of a server that has just started, as a share.
@@ -218,9 +221,13 @@
         let ratio = work.as_secs_f64() / usual.as_secs_f64();
         let observed = ratio.clamp(SPEED_RANGE.0, SPEED_RANGE.1).ln();
         let (speed, at) = self.speed;
-        let decayed = speed * half_life(now.since(at), parameters.speed_half_life);
-        let speed = decayed + (observed - decayed) * parameters.speed_weight;
-        self.speed = (speed, now);
+        let age = now.since(at);
+        let decayed = speed * half_life(age, parameters.speed_half_life);
+        // The longer nothing was observed, the more the newest observation says.
+        let intervals = age.as_secs_f64() / parameters.speed_interval.as_secs_f64();
+        let weight = 1.0 - (1.0 - parameters.speed_weight).powf(intervals.max(1.0));
+        let step = ((observed - decayed) * weight).clamp(-SPEED_STEP, SPEED_STEP);
+        self.speed = (decayed + step, now);
     }
 
     /// It failed in a way that costs this much.
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -10,5 +10,6 @@
 mod routing;
 mod scarcity;
 mod sources;
+mod speeds;
 mod subsets;
 mod support;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/tests/speeds.rs
@@ -0,0 +1,90 @@
+//! What is learnt of a server's speed.
+
+use super::support::{instance, millis};
+use crate::gateway::ServerParameters;
+use crate::gateway::action::ViewOrigin;
+use crate::gateway::servers::{Placement, ServerKey, Servers};
+use crate::time::Timestamp;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+use thornbridge_proto::peer::view::{InstanceState, StoreRevision};
+use thornbridge_proto::{RegionName, ServiceName, ZoneName};
+
+const WORK: Duration = Duration::from_millis(20);
+
+/// One server, and how fast this node believes that it is.
+struct Observed {
+    servers: Servers,
+    key: ServerKey,
+    now: Timestamp,
+}
+
+impl Observed {
+    fn new() -> Self {
+        let zone = ZoneName::new("zone");
+        let region = RegionName::new("region");
+        let placement = Placement {
+            zone: zone.clone(),
+            region: region.clone(),
+            regions: BTreeMap::from([(zone, region)]),
+        };
+        let own = SocketAddr::from(([10, 0, 0, 9], 1));
+        let mut servers = Servers::new(ServerParameters::default(), placement, own);
+        let instance = instance("s1", "s", InstanceState::Ready);
+        let mut actions = VecDeque::new();
+        let now = Timestamp::ZERO;
+        let origin = ViewOrigin::Store;
+        servers.present(now, &mut actions, &instance, StoreRevision(1), origin);
+        let service = servers.service(&ServiceName::new("s"));
+        let mut random = Pcg64Mcg::seed_from_u64(1);
+        let choice = servers.choose(now, &mut random, service, WORK, &[]);
+        let key = choice.unwrap().server;
+        Self { servers, key, now }
+    }
+
+    fn observe(&mut self, after: Duration, took: Duration) {
+        self.now = self.now + after;
+        let parameters = self.servers.parameters.clone();
+        let server = self.servers.get_mut(self.key).unwrap();
+        server.observe_speed(&parameters, self.now, took, WORK);
+    }
+
+    fn speed(&self) -> f64 {
+        let server = self.servers.get(self.key).unwrap();
+        server.speed(&self.servers.parameters, self.now)
+    }
+}
+
+#[test]
+fn two_slow_answers_in_a_row_tell_where_few_are_seen() {
+    let mut observed = Observed::new();
+    for _ in 0..10 {
+        observed.observe(millis(800), WORK);
+    }
+    observed.observe(millis(800), WORK * 8);
+    observed.observe(millis(800), WORK * 8);
+    assert!(observed.speed() > 2.5, "{}", observed.speed());
+}
+
+#[test]
+fn one_pause_makes_no_slow_server() {
+    let mut observed = Observed::new();
+    observed.observe(millis(800), WORK);
+    observed.observe(millis(800), WORK * 12);
+    assert!(observed.speed() < 2.1, "{}", observed.speed());
+    observed.observe(millis(800), WORK);
+    assert!(observed.speed() < 1.3, "{}", observed.speed());
+}
+
+#[test]
+fn where_many_are_seen_each_says_little() {
+    let mut observed = Observed::new();
+    for _ in 0..50 {
+        observed.observe(millis(50), WORK);
+    }
+    observed.observe(millis(50), WORK * 4);
+    assert!(observed.speed() < 1.4, "{}", observed.speed());
+}
