--- a/crates/thornbridge-config/src/lib.rs
+++ b/crates/thornbridge-config/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod keys;
 pub mod objects;
 pub mod parse;
+pub mod policy;
 pub mod problem;
 pub mod routes;
 pub mod settings;
