Log: which try a request was, when its caller was told to come back, and when connections are scarce

A request's line has caller_try and retry_after_ms; refusals before a configuration say how long they waited. 'server connections' tells when servers begin or cease to refuse a good part of the connections. Optional values are numbers and words (-1, none) instead of Rust's notation.

--- a/crates/thornbridge-core/src/gateway/action.rs
+++ b/crates/thornbridge-core/src/gateway/action.rs
@@ -1,6 +1,7 @@
 //! What a gateway wants done.
 
 use super::event::ViewKind;
+use super::patience::CallerTry;
 use crate::driver_action::{CallerId, ConnectionId};
 use bytes::Bytes;
 use http::HeaderMap;
@@ -218,6 +219,10 @@
     pub attempts: usize,
     /// Extra attempts that the budget did not allow.
     pub denied: usize,
+    /// Which try of its caller it was, as far as that could be told.
+    pub caller_try: CallerTry,
+    /// When a refused caller was told to come back.
+    pub retry_after: Option<Duration>,
 }
 
 impl RequestNote {
@@ -242,13 +247,31 @@
             notable: Vec::new(),
             attempts: 0,
             denied: 0,
+            caller_try: CallerTry::Unknown,
+            retry_after: None,
         }
     }
+
+    /// The same, for a caller that is told to come back.
+    pub(super) fn with_retry(mut self, caller_try: CallerTry, after: Option<Duration>) -> Self {
+        self.caller_try = caller_try;
+        self.retry_after = after;
+        self
+    }
 }
 
 /// A change of what the gateway believes or does, for the log.
 #[derive(Clone, Debug, PartialEq)]
 pub enum GatewayChange {
+    /// Servers begin or cease to refuse a good part of the connections.
+    Scarcity {
+        /// Whether they do.
+        scarce: bool,
+        /// Connections that were refused lately.
+        refused: u64,
+        /// Connections that were opened lately, refused ones included.
+        opened: u64,
+    },
     /// A configuration is in force.
     ConfigurationInForce {
         /// Version.
--- a/crates/thornbridge-core/src/gateway/awaiting.rs
+++ b/crates/thornbridge-core/src/gateway/awaiting.rs
@@ -65,7 +65,7 @@
             arrived: now,
             until: now + patience.mul_f64(share),
         };
-        let first = self.patience.judge(&request.head, patience) == CallerTry::First;
+        let first = self.judge(&request) == CallerTry::First;
         if first && now.since_epoch() >= VIEWS_COME {
             return Some(request);
         }
@@ -73,6 +73,11 @@
         None
     }
 
+    /// Which try of its caller a request is.
+    pub(super) fn judge(&self, request: &AwaitingRequest) -> CallerTry {
+        self.patience.judge(&request.head, request.patience())
+    }
+
     /// Requests that wait.
     pub(super) fn len(&self) -> usize {
         self.requests.len()
--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -90,6 +90,16 @@
     Registry,
 }
 
+impl ViewKind {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Configuration => "configuration",
+            Self::Registry => "registry",
+        }
+    }
+}
+
 /// One object that came from the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ViewObject {
@@ -121,6 +131,18 @@
     Malformed,
 }
 
+impl SourceFailure {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::HistoryGone => "history_gone",
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+            Self::Malformed => "malformed",
+        }
+    }
+}
+
 /// What the store answered.
 #[derive(Clone, Debug, PartialEq)]
 pub enum SourceReply {
--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -13,6 +13,7 @@
 use crate::gateway::routes::{ResolvedGather, ResolvedTarget};
 use crate::time::Timestamp;
 use bytes::Bytes;
+use std::time::Duration;
 
 /// The answer of a request, where it can be answered now.
 pub(super) fn answer(
@@ -119,6 +120,14 @@
     }
 }
 
+/// When a refused caller is to come back.
+pub(super) fn retry_after(answer: &GatewayAnswer) -> Option<Duration> {
+    match answer {
+        GatewayAnswer::Refused { retry_after, .. } => *retry_after,
+        GatewayAnswer::Forwarded { .. } | GatewayAnswer::Gathered { .. } => None,
+    }
+}
+
 /// The outcome of an answer in a word.
 pub(super) fn outcome(answer: &GatewayAnswer) -> &'static str {
     match answer {
@@ -132,7 +141,13 @@
 
 impl Exchanges {
     /// Tells the log how a request ended.
-    pub(super) fn note(&self, scope: &mut Scope<'_>, request: &Request, outcome: &'static str) {
+    pub(super) fn note(
+        &self,
+        scope: &mut Scope<'_>,
+        request: &Request,
+        outcome: &'static str,
+        retry_after: Option<Duration>,
+    ) {
         let progress = request.progress();
         let mut notable = request.notes.clone();
         self.add_open_attempts(scope, request, &mut notable);
@@ -149,6 +164,8 @@
             notable,
             attempts: request.legs.iter().map(|leg| leg.sent as usize).sum(),
             denied: request.denied,
+            caller_try: request.caller_try,
+            retry_after,
         };
         scope.actions.push_back(GatewayAction::Finished(note));
     }
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -46,9 +46,10 @@
     ) {
         let look_interval = self.parameters.look_interval;
         let Some(choice) = self.choose(scope, request, index) else {
-            let leg = &mut request.legs[index];
             let settling = scope.now.since_epoch() < self.parameters.settling;
-            let may_come = leg.sent == 0 && (settling || request.is_last_try);
+            let waits = settling || request.is_last_try();
+            let leg = &mut request.legs[index];
+            let may_come = leg.sent == 0 && waits;
             if may_come || scope.servers.has_other_server(leg.service, &leg.tried) {
                 // Its servers cannot be reached or are not registered; one may be soon.
                 leg.look_at = Some(scope.now + look_interval * 2);
@@ -114,7 +115,7 @@
             return true;
         }
         request.denied += 1;
-        let waits = request.is_gather() || request.is_last_try;
+        let waits = request.is_gather() || request.is_last_try();
         let leg = &mut request.legs[index];
         leg.denied = true;
         if waits || !leg.open.is_empty() {
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -140,7 +140,7 @@
             id,
             route,
             arrived,
-            is_last_try: times.caller_try == CallerTry::Later,
+            caller_try: times.caller_try,
             answer_by: times.answer_by,
             ends: times.ends,
             legs,
@@ -157,7 +157,7 @@
     pub(super) fn caller_gone(&mut self, scope: &mut Scope<'_>, caller: CallerId) {
         let cut_at = scope.now + self.parameters.gone_grace;
         if let Some(request) = self.forget(scope, caller, cut_at) {
-            self.note(scope, &request, "caller_gone");
+            self.note(scope, &request, "caller_gone", None);
         }
     }
 
@@ -200,6 +200,7 @@
 
     fn finish(&mut self, scope: &mut Scope<'_>, request: Request, answer: GatewayAnswer) {
         let outcome = answering::outcome(&answer);
+        let retry_after = answering::retry_after(&answer);
         let cut_at = request.ends.max(scope.now) + self.parameters.gone_grace;
         self.abandon(scope, &request, cut_at);
         // The log can wait; the caller cannot.
@@ -207,7 +208,7 @@
         scope
             .actions
             .push_back(GatewayAction::Answer { caller, answer });
-        self.note(scope, &request, outcome);
+        self.note(scope, &request, outcome, retry_after);
     }
 
     /// Takes a request off the tables; its attempts are cut off at `cut_at`.
@@ -239,8 +240,9 @@
             scope.registry,
             reason,
         );
-        scope.actions.push_back(GatewayAction::Finished(note));
         let retry_after = Some(retry_after);
+        let note = note.with_retry(CallerTry::First, retry_after);
+        scope.actions.push_back(GatewayAction::Finished(note));
         let promise = RefusalPromise::NotRun;
         let answer = GatewayAnswer::Refused {
             reason,
--- a/crates/thornbridge-core/src/gateway/exchange/request.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -3,6 +3,7 @@
 use super::leg::Leg;
 use crate::driver_action::CallerId;
 use crate::gateway::action::AttemptNote;
+use crate::gateway::patience::CallerTry;
 use crate::gateway::routes::{ResolvedRoute, ResolvedTarget};
 use crate::gateway::servers::Waiting;
 use crate::time::Timestamp;
@@ -15,8 +16,8 @@
     pub(super) id: String,
     pub(super) route: Arc<ResolvedRoute>,
     pub(super) arrived: Timestamp,
-    /// Whether its caller tried before, and so does not come back.
-    pub(super) is_last_try: bool,
+    /// Which try of its caller it is.
+    pub(super) caller_try: CallerTry,
     /// When an answer has to leave to be worth most.
     pub(super) answer_by: Timestamp,
     /// When the final answer has to leave.
@@ -64,6 +65,11 @@
         }
     }
 
+    /// Whether its caller tried before, and so does not come back.
+    pub(super) fn is_last_try(&self) -> bool {
+        self.caller_try == CallerTry::Later
+    }
+
     pub(super) fn is_gather(&self) -> bool {
         matches!(self.route.target, ResolvedTarget::Gather(_))
     }
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -8,6 +8,7 @@
 use super::event::{GatewayEvent, RequestHead};
 use super::exchange::{Exchanges, Scope};
 use super::parameters::GatewayParameters;
+use super::patience::CallerTry;
 use crate::driver_action::CallerId;
 use crate::membership::Membership;
 use crate::time::Timestamp;
@@ -133,6 +134,7 @@
 
     /// The caller waited for a configuration in vain; it is told to come back while it can.
     fn refuse_without_configuration(&mut self, request: AwaitingRequest) {
+        let caller_try = self.awaiting.judge(&request);
         let AwaitingRequest {
             caller,
             head,
@@ -145,9 +147,14 @@
         let retry_after = left
             .mul_f64(share)
             .max(self.parameters.exchange.retry_after);
-        let retry_after = Some(retry_after);
-        let reason = RefusalReason::NoConfiguration;
-        self.refuse(caller, &head, reason, RefusalPromise::NotRun, retry_after);
+        let refusal = Refusal {
+            reason: RefusalReason::NoConfiguration,
+            promise: RefusalPromise::NotRun,
+            retry_after: Some(retry_after),
+            caller_try,
+            waited,
+        };
+        self.refuse(caller, &head, refusal);
     }
 
     /// Takes new tunable values.
@@ -222,34 +229,36 @@
     /// Starts a request that arrived then, on its route.
     fn route(&mut self, caller: CallerId, head: RequestHead, arrived: Timestamp) {
         if head.id.is_none() {
-            let reason = RefusalReason::NoIdentity;
-            self.refuse(caller, &head, reason, RefusalPromise::BadRequest, None);
+            let refusal = Refusal::final_one(RefusalReason::NoIdentity, RefusalPromise::BadRequest);
+            self.refuse(caller, &head, refusal);
             return;
         }
         let Some(route) = self.routes.find(&head.host, &head.path) else {
-            let reason = RefusalReason::NoRoute;
-            self.refuse(caller, &head, reason, RefusalPromise::NotFound, None);
+            let refusal = Refusal::final_one(RefusalReason::NoRoute, RefusalPromise::NotFound);
+            self.refuse(caller, &head, refusal);
             return;
         };
         let (exchanges, mut scope) = self.exchanges();
         exchanges.start(&mut scope, caller, head, route, arrived);
     }
 
-    fn refuse(
-        &mut self,
-        caller: CallerId,
-        head: &RequestHead,
-        reason: RefusalReason,
-        promise: RefusalPromise,
-        retry_after: Option<Duration>,
-    ) {
-        let note = RequestNote::unstarted(
+    fn refuse(&mut self, caller: CallerId, head: &RequestHead, refusal: Refusal) {
+        let Refusal {
+            reason,
+            promise,
+            retry_after,
+            caller_try,
+            waited,
+        } = refusal;
+        let mut note = RequestNote::unstarted(
             head.id.clone().unwrap_or_default(),
             String::new(),
             self.routes.version,
             self.registry.upto().unwrap_or_default(),
             reason,
         );
+        note.took = waited;
+        let note = note.with_retry(caller_try, retry_after);
         self.actions.push_back(GatewayAction::Finished(note));
         let answer = GatewayAnswer::Refused {
             reason,
@@ -260,3 +269,26 @@
             .push_back(GatewayAction::Answer { caller, answer });
     }
 }
+
+/// Why a request that took no route is refused, and what its caller is told.
+struct Refusal {
+    reason: RefusalReason,
+    promise: RefusalPromise,
+    retry_after: Option<Duration>,
+    caller_try: CallerTry,
+    /// Time that it waited in this node.
+    waited: Duration,
+}
+
+impl Refusal {
+    /// One that its caller is not to try again.
+    fn final_one(reason: RefusalReason, promise: RefusalPromise) -> Self {
+        Self {
+            reason,
+            promise,
+            retry_after: None,
+            caller_try: CallerTry::Unknown,
+            waited: Duration::ZERO,
+        }
+    }
+}
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -47,6 +47,7 @@
 pub use parameters::{
     BudgetParameters, ExchangeParameters, GatewayParameters, ServerParameters, ViewParameters,
 };
+pub use patience::CallerTry;
 pub use servers::Placement;
 
 use crate::driver_action::Action;
--- a/crates/thornbridge-core/src/gateway/patience.rs
+++ b/crates/thornbridge-core/src/gateway/patience.rs
@@ -18,7 +18,7 @@
 
 /// Which try of its caller a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CallerTry {
+pub enum CallerTry {
     /// The first.
     First,
     /// A later one.
@@ -27,6 +27,17 @@
     Unknown,
 }
 
+impl CallerTry {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Later => "later",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// The patience that the callers of one kind of request state.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct StatedPatience {
--- a/crates/thornbridge-core/src/gateway/servers/connections.rs
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -179,6 +179,8 @@
             self.connection_limit(now, ServiceKey(index));
         }
         let services: Vec<ServiceKey> = self.kept_warm.iter().copied().collect();
+        let change = self.scarcity.change(now);
+        actions.extend(change.map(GatewayAction::Changed));
         // Few are left: they are opened for requests only.
         let scarce = now.since_epoch() >= SCARCE_AFTER && self.scarcity.is_scarce(now);
         for service in services.into_iter().filter(|_| !scarce) {
--- a/crates/thornbridge-core/src/gateway/servers/scarcity.rs
+++ b/crates/thornbridge-core/src/gateway/servers/scarcity.rs
@@ -7,6 +7,7 @@
 //! use, so that all nodes share the few that there are.
 
 use crate::driver_action::ConnectionId;
+use crate::gateway::action::GatewayChange;
 use crate::gateway::window::SumWindow;
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
@@ -25,6 +26,7 @@
     opened: SumWindow,
     refused: SumWindow,
     proving: BTreeSet<(Timestamp, ConnectionId)>,
+    told: bool,
 }
 
 impl Scarcity {
@@ -34,6 +36,7 @@
             opened: SumWindow::new(step, STEPS),
             refused: SumWindow::new(step, STEPS),
             proving: BTreeSet::new(),
+            told: false,
         }
     }
 
@@ -56,6 +59,20 @@
         refused >= LEAST_REFUSALS && refused * OPENED_FOR_ONE_REFUSED >= self.opened.sum(now)
     }
 
+    /// The change since it was last asked for, for the log.
+    pub(super) fn change(&mut self, now: Timestamp) -> Option<GatewayChange> {
+        let scarce = self.is_scarce(now);
+        if scarce == self.told {
+            return None;
+        }
+        self.told = scarce;
+        Some(GatewayChange::Scarcity {
+            scarce,
+            refused: self.refused.sum(now),
+            opened: self.opened.sum(now),
+        })
+    }
+
     pub(super) fn prove(&mut self, connection: ConnectionId, until: Timestamp) {
         self.proving.insert((until, connection));
     }
--- a/crates/thornbridge-node/src/gateway/log_lines.rs
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -1,7 +1,8 @@
 //! Lines of the log: one for each request, and one for each change of state.
 
 use std::fmt::Write;
-use thornbridge_core::gateway::{AttemptNote, GatewayChange, RequestNote};
+use std::time::Duration;
+use thornbridge_core::gateway::{AttemptNote, GatewayChange, RequestNote, SourceFailure};
 
 /// Attempts that one line names at most.
 const ATTEMPTS_NAMED: usize = 8;
@@ -20,6 +21,8 @@
         of = note.of,
         attempts = note.attempts,
         denied = note.denied,
+        caller_try = note.caller_try.as_str(),
+        retry_after_ms = or_never(note.retry_after),
         notable = named(&note.notable).as_str();
         "request"
     );
@@ -95,9 +98,9 @@
             failure,
             age,
         } => log::info!(
-            view:? = kind,
+            view = kind.as_str(),
             reachable = *reachable,
-            failure:? = failure,
+            failure = failure.map_or("none", SourceFailure::as_str),
             age_ms = millis(*age);
             "store"
         ),
@@ -107,14 +110,29 @@
         GatewayChange::Reading { reads, rank, age } => log::info!(
             reads = *reads,
             rank = *rank,
-            age_ms:? = age.map(millis);
+            age_ms = or_never(*age);
             "store reader"
         ),
+        GatewayChange::Scarcity {
+            scarce,
+            refused,
+            opened,
+        } => log::info!(
+            scarce = *scarce,
+            refused = *refused,
+            opened = *opened;
+            "server connections"
+        ),
         GatewayChange::Members { members } => log::info!(members = *members; "members"),
         GatewayChange::Lifecycle { state } => log::info!(state = *state; "node"),
     }
 }
 
-fn millis(time: std::time::Duration) -> u64 {
+/// Milliseconds; -1 where there is no such time.
+fn or_never(time: Option<Duration>) -> i64 {
+    time.map_or(-1, |time| millis(time) as i64)
+}
+
+fn millis(time: Duration) -> u64 {
     time.as_millis() as u64
 }
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -169,6 +169,8 @@
             GatewayChange::Trust { .. } => "server_trusted",
             GatewayChange::Reading { reads: true, .. } => "store_reading",
             GatewayChange::Reading { .. } => "store_following",
+            GatewayChange::Scarcity { scarce: true, .. } => "connections_scarce",
+            GatewayChange::Scarcity { .. } => "connections_plenty",
             GatewayChange::Members { .. } => "members",
             GatewayChange::Lifecycle { state } => state,
         };
