--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -13,6 +13,7 @@
 mod attempts;
 mod delay;
 mod dispatching;
+mod hedging;
 mod leg;
 mod merging;
 mod request;
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -5,12 +5,14 @@
 
 mod choosing;
 mod connections;
+mod opening;
 mod scarcity;
 mod server;
 mod subset;
 
 pub(super) use choosing::Choice;
-pub(super) use connections::{Connection, Loss, OpenOutcome};
+pub(super) use connections::{Connection, OpenOutcome};
+pub(super) use opening::Loss;
 pub(super) use server::{Availability, Server, Waiting};
 pub(super) use subset::Sharer;
 
