--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -4,11 +4,9 @@
 use super::merging::greatest_records;
 use super::request::{Progress, Request};
 use super::{Exchanges, Scope};
-use crate::gateway::action::{
-    AttemptNote, AttemptOutcome, GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason,
-    RequestNote,
-};
+use crate::gateway::action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason};
 use crate::gateway::event::ServerReply;
+use crate::gateway::notes::{AttemptNote, AttemptOutcome, RequestNote};
 use crate::gateway::parameters::ExchangeParameters;
 use crate::gateway::routes::{ResolvedGather, ResolvedTarget};
 use crate::time::Timestamp;
--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -5,10 +5,9 @@
 use super::request::Request;
 use super::{Carrier, Exchanges, Scope};
 use crate::driver_action::{CallerId, ConnectionId};
-use crate::gateway::action::{
-    AttemptCause, AttemptNote, AttemptOutcome, GatewayAction, GatewayChange,
-};
+use crate::gateway::action::GatewayAction;
 use crate::gateway::event::{ExchangeFailure, ReplyVerdict, ServerReply};
+use crate::gateway::notes::{AttemptCause, AttemptNote, AttemptOutcome, GatewayChange};
 use crate::gateway::routes::RouteKey;
 use crate::gateway::servers::{Loss, ServerKey};
 use crate::time::Timestamp;
--- a/crates/thornbridge-core/src/gateway/exchange/hedging.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/hedging.rs
@@ -5,7 +5,7 @@
 
 use super::request::Request;
 use super::{Carrier, Exchanges, Scope};
-use crate::gateway::action::AttemptCause;
+use crate::gateway::notes::AttemptCause;
 use crate::gateway::servers::{OpenOutcome, ServerKey};
 use std::time::Duration;
 
--- a/crates/thornbridge-core/src/gateway/exchange/leg.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/leg.rs
@@ -1,8 +1,8 @@
 //! One part of a request: the whole of a plain one, or one shard of a gather.
 
-use crate::gateway::action::{AttemptCause, AttemptOutcome};
 use crate::gateway::budget::ServiceKey;
 use crate::gateway::event::ServerReply;
+use crate::gateway::notes::{AttemptCause, AttemptOutcome};
 use crate::gateway::servers::ServerKey;
 use crate::time::Timestamp;
 use thornbridge_proto::AttemptId;
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -20,9 +20,11 @@
 #[cfg(test)]
 mod tests;
 
-use super::action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason, RequestNote};
+use super::action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason};
+
 use super::budget::{ExtraAttemptBudget, ServiceKey};
 use super::event::RequestHead;
+use super::notes::RequestNote;
 use super::parameters::ExchangeParameters;
 use super::patience::CallerTry;
 use super::routes::{ResolvedRoute, ResolvedTarget, RouteTable};
--- a/crates/thornbridge-core/src/gateway/exchange/request.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -2,7 +2,7 @@
 
 use super::leg::Leg;
 use crate::driver_action::CallerId;
-use crate::gateway::action::AttemptNote;
+use crate::gateway::notes::AttemptNote;
 use crate::gateway::patience::CallerTry;
 use crate::gateway::routes::{ResolvedRoute, ResolvedTarget};
 use crate::gateway::servers::Waiting;
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -1,12 +1,11 @@
 //! Events of a gateway, handed to its parts.
 
 use super::Gateway;
-use super::action::{
-    GatewayAction, GatewayAnswer, GatewayChange, RefusalPromise, RefusalReason, RequestNote,
-};
+use super::action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason};
 use super::awaiting::AwaitingRequest;
 use super::event::{GatewayEvent, RequestHead};
 use super::exchange::{Exchanges, Scope};
+use super::notes::{GatewayChange, RequestNote};
 use super::parameters::GatewayParameters;
 use super::patience::CallerTry;
 use crate::driver_action::CallerId;
--- a/crates/thornbridge-core/src/gateway/members.rs
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -1,7 +1,8 @@
 //! The members of a gateway's cluster: who shares the budgets, and who watches the store closely.
 
 use super::Gateway;
-use super::action::{GatewayAction, GatewayChange};
+use super::action::GatewayAction;
+use super::notes::GatewayChange;
 use super::servers::Sharer;
 use crate::context::Context;
 use crate::driver_action::Action;
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod exchange;
 mod handling;
 mod members;
+mod notes;
 mod parameters;
 mod patience;
 mod routes;
@@ -36,14 +37,15 @@
 mod window;
 mod work;
 
-pub use action::{
-    AttemptCause, AttemptNote, AttemptOutcome, GatewayAction, GatewayAnswer, GatewayChange,
-    RefusalPromise, RefusalReason, RequestNote, SourceRead, ViewOrigin,
-};
+pub use action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason, SourceRead};
+
 pub use event::{
     ExchangeFailure, GatewayEvent, ReplyVerdict, RequestHead, ServerLoad, ServerReply,
     SourceFailure, SourceReply, ViewKind, ViewObject,
 };
+pub use notes::{
+    AttemptCause, AttemptNote, AttemptOutcome, GatewayChange, RequestNote, ViewOrigin,
+};
 pub use parameters::{
     BudgetParameters, ExchangeParameters, GatewayParameters, ServerParameters, ViewParameters,
 };
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/notes.rs
@@ -0,0 +1,263 @@
+//! What a gateway tells the log and the metrics: how requests ended, and what it believes now.
+
+use super::action::RefusalReason;
+use super::event::ViewKind;
+use super::patience::CallerTry;
+use std::time::Duration;
+use thornbridge_config::routes::RouteVersion;
+use thornbridge_proto::BackEndId;
+use thornbridge_proto::peer::view::StoreRevision;
+
+/// One attempt of one server, as a log line tells it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AttemptNote {
+    /// Server.
+    pub server: BackEndId,
+    /// Time from the request's arrival to sending.
+    pub sent_after: Duration,
+    /// Why it was sent.
+    pub cause: AttemptCause,
+    /// Its end, where it had one.
+    pub outcome: AttemptOutcome,
+    /// Time from sending to that end.
+    pub took: Option<Duration>,
+}
+
+/// Why an attempt was made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptCause {
+    /// The first for its shard or request.
+    First,
+    /// The first was slow.
+    Hedge,
+    /// An earlier one failed.
+    Retry,
+}
+
+impl AttemptCause {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Hedge => "hedge",
+            Self::Retry => "retry",
+        }
+    }
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptOutcome {
+    /// Never sent: it waited for a connection of the server when the request was answered.
+    Waiting,
+    /// Not at all, when the request was answered.
+    Open,
+    /// With a usable answer.
+    Answered,
+    /// With a failure of the server's own.
+    ServerFailure,
+    /// Refused: not run.
+    NotRun,
+    /// The address belongs to another instance.
+    WrongInstance,
+    /// Bytes that are no answer to it.
+    Spoilt,
+    /// The connection broke.
+    Broken,
+}
+
+impl AttemptOutcome {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Open => "open",
+            Self::Answered => "answered",
+            Self::ServerFailure => "server_failure",
+            Self::NotRun => "not_run",
+            Self::WrongInstance => "wrong_instance",
+            Self::Spoilt => "spoilt",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// How a request ended, for the log and the metrics.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RequestNote {
+    /// Identity that the caller gave.
+    pub id: String,
+    /// Route; empty where none was found.
+    pub route: String,
+    /// Version of the configuration that decided.
+    pub version: RouteVersion,
+    /// Revision of the registry at the end.
+    pub registry: StoreRevision,
+    /// Time from arrival to answer.
+    pub took: Duration,
+    /// Time from arrival at which an answer was due to be worth most.
+    pub objective: Duration,
+    /// Parts that answered.
+    pub parts: usize,
+    /// Parts that were asked.
+    pub of: usize,
+    /// Outcome in a word.
+    pub outcome: &'static str,
+    /// Attempts beyond each part's first, and those that did not simply succeed.
+    pub notable: Vec<AttemptNote>,
+    /// Attempts sent.
+    pub attempts: usize,
+    /// Extra attempts that the budget did not allow.
+    pub denied: usize,
+    /// Which try of its caller it was, as far as that could be told.
+    pub caller_try: CallerTry,
+    /// When a refused caller was told to come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl RequestNote {
+    /// The note of a request that was refused before anything was done for it.
+    pub(super) fn unstarted(
+        id: String,
+        route: String,
+        version: RouteVersion,
+        registry: StoreRevision,
+        reason: RefusalReason,
+    ) -> Self {
+        Self {
+            id,
+            route,
+            version,
+            registry,
+            took: Duration::ZERO,
+            objective: Duration::ZERO,
+            parts: 0,
+            of: 0,
+            outcome: reason.as_str(),
+            notable: Vec::new(),
+            attempts: 0,
+            denied: 0,
+            caller_try: CallerTry::Unknown,
+            retry_after: None,
+        }
+    }
+
+    /// The same, for a caller that is told to come back.
+    pub(super) fn with_retry(mut self, caller_try: CallerTry, after: Option<Duration>) -> Self {
+        self.caller_try = caller_try;
+        self.retry_after = after;
+        self
+    }
+}
+
+/// A change of what the gateway believes or does, for the log.
+#[derive(Clone, Debug, PartialEq)]
+pub enum GatewayChange {
+    /// Servers begin or cease to refuse a good part of the connections.
+    Scarcity {
+        /// Whether they do.
+        scarce: bool,
+        /// Connections that were refused lately.
+        refused: u64,
+        /// Connections that were opened lately, refused ones included.
+        opened: u64,
+    },
+    /// A configuration is in force.
+    ConfigurationInForce {
+        /// Version.
+        version: RouteVersion,
+        /// Version before.
+        replaced: RouteVersion,
+        /// Where it came from.
+        origin: ViewOrigin,
+        /// Time from learning to force.
+        staged_for: Duration,
+    },
+    /// An object of the store is kept out.
+    ObjectRefused {
+        /// Name.
+        name: String,
+        /// Why.
+        reason: String,
+    },
+    /// An instance changed.
+    Instance {
+        /// Instance.
+        id: BackEndId,
+        /// Service.
+        service: String,
+        /// New state.
+        state: &'static str,
+        /// Revision of the change.
+        revision: StoreRevision,
+        /// Where it came from.
+        origin: ViewOrigin,
+    },
+    /// The registry is known for the first time.
+    RegistryKnown {
+        /// Entries.
+        instances: usize,
+        /// Revision up to which it is known.
+        revision: StoreRevision,
+        /// Where it came from.
+        origin: ViewOrigin,
+    },
+    /// Reading a view of the store began to fail, or works again.
+    Source {
+        /// View.
+        kind: ViewKind,
+        /// Whether it works.
+        reachable: bool,
+        /// Why it does not.
+        failure: Option<super::event::SourceFailure>,
+        /// Age of the last answer.
+        age: Duration,
+    },
+    /// A server is avoided, or is no longer.
+    Trust {
+        /// Server.
+        id: BackEndId,
+        /// Whether it is avoided now.
+        avoided: bool,
+        /// Why.
+        cause: &'static str,
+    },
+    /// This node begins to read the store itself, or leaves that to others.
+    Reading {
+        /// Whether it reads.
+        reads: bool,
+        /// Its place in the order of readers.
+        rank: usize,
+        /// Age of its views since the store last confirmed them; `None` where it never did.
+        age: Option<Duration>,
+    },
+    /// Members that share the budgets.
+    Members {
+        /// Number.
+        members: usize,
+    },
+    /// The node's own life.
+    Lifecycle {
+        /// New state.
+        state: &'static str,
+    },
+}
+
+/// Where a view came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ViewOrigin {
+    /// The store.
+    Store,
+    /// A peer.
+    Peer,
+}
+
+impl ViewOrigin {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -16,8 +16,10 @@
 pub(super) use server::{Availability, Server, Waiting};
 pub(super) use subset::Sharer;
 
-use super::action::{GatewayAction, GatewayChange, ViewOrigin};
+use super::action::GatewayAction;
+
 use super::budget::ServiceKey;
+use super::notes::{GatewayChange, ViewOrigin};
 use super::parameters::ServerParameters;
 use super::window::MaximumWindow;
 use crate::driver_action::ConnectionId;
--- a/crates/thornbridge-core/src/gateway/servers/scarcity.rs
+++ b/crates/thornbridge-core/src/gateway/servers/scarcity.rs
@@ -7,7 +7,7 @@
 //! use, so that all nodes share the few that there are.
 
 use crate::driver_action::ConnectionId;
-use crate::gateway::action::GatewayChange;
+use crate::gateway::notes::GatewayChange;
 use crate::gateway::window::SumWindow;
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
--- a/crates/thornbridge-core/src/gateway/staging.rs
+++ b/crates/thornbridge-core/src/gateway/staging.rs
@@ -4,7 +4,7 @@
 //! them: the first requests would else all pay for opening one. A version is put in force as a
 //! whole, so that no route goes back.
 
-use crate::gateway::action::ViewOrigin;
+use crate::gateway::notes::ViewOrigin;
 use crate::time::Timestamp;
 use std::sync::Arc;
 use thornbridge_config::routes::{RouteConfiguration, RouteVersion};
--- a/crates/thornbridge-core/src/gateway/tests/speeds.rs
+++ b/crates/thornbridge-core/src/gateway/tests/speeds.rs
@@ -2,7 +2,7 @@
 
 use super::support::{instance, millis};
 use crate::gateway::ServerParameters;
-use crate::gateway::action::ViewOrigin;
+use crate::gateway::notes::ViewOrigin;
 use crate::gateway::servers::{Placement, ServerKey, Servers};
 use crate::time::Timestamp;
 use rand::SeedableRng;
--- a/crates/thornbridge-core/src/gateway/tests/subsets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/subsets.rs
@@ -4,7 +4,7 @@
 use crate::driver_action::ConnectionId;
 use crate::gateway::GatewayAction;
 use crate::gateway::ServerParameters;
-use crate::gateway::action::ViewOrigin;
+use crate::gateway::notes::ViewOrigin;
 use crate::gateway::servers::{OpenOutcome, Placement, Servers, Sharer};
 use crate::time::Timestamp;
 use rand::SeedableRng;
--- a/crates/thornbridge-core/src/gateway/viewing.rs
+++ b/crates/thornbridge-core/src/gateway/viewing.rs
@@ -1,8 +1,9 @@
 //! The views of a gateway: what the store and peers tell, and when a configuration is in force.
 
 use super::Gateway;
-use super::action::{GatewayAction, GatewayChange, ViewOrigin};
+use super::action::GatewayAction;
 use super::event::{SourceFailure, SourceReply, ViewKind, ViewObject};
+use super::notes::{GatewayChange, ViewOrigin};
 use super::routes::services_of;
 use super::staging::Staged;
 use super::views::peers::ViewAge;
--- a/crates/thornbridge-core/src/gateway/views/source.rs
+++ b/crates/thornbridge-core/src/gateway/views/source.rs
@@ -4,8 +4,10 @@
 //! silent: every read has a time limit, failures are followed by pauses that grow, and a history
 //! that is gone by a new list.
 
-use crate::gateway::action::{GatewayAction, GatewayChange, SourceRead};
+use crate::gateway::action::{GatewayAction, SourceRead};
+
 use crate::gateway::event::{SourceFailure, SourceReply, ViewKind, ViewObject};
+use crate::gateway::notes::GatewayChange;
 use crate::gateway::parameters::ViewParameters;
 use crate::time::Timestamp;
 use rand::Rng;
--- a/crates/thornbridge-core/src/health/mod.rs
+++ b/crates/thornbridge-core/src/health/mod.rs
@@ -1,7 +1,7 @@
 //! Sharing of back ends' health among nodes, as changes only.
 //!
-//! Probing is divided: in each region a few nodes probe a back end ([`assignment`]). What they
-//! see is kept as facts ([`facts`]) that all nodes hold alike; a change is gossiped once, and
+//! Probing is divided: in each region a few nodes probe a back end (`assignment`). What they
+//! see is kept as facts (`facts`) that all nodes hold alike; a change is gossiped once, and
 //! digests are compared now and then. Load is not shared, since it is old before it arrives.
 //! A back end's own word (readiness, snapshots) is taken from any observer; that it cannot be
 //! reached is believed of oneself, or where observers of the same region agree.
