--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -244,7 +244,11 @@
             reason,
         );
         let retry_after = Some(retry_after);
-        let note = note.with_retry(CallerTry::First, retry_after);
+        let caller_try = match reason {
+            RefusalReason::Overloaded => CallerTry::Unknown,
+            _ => CallerTry::First,
+        };
+        let note = note.with_retry(caller_try, retry_after);
         scope.actions.push_back(GatewayAction::Finished(note));
         let promise = RefusalPromise::NotRun;
         let answer = GatewayAnswer::Refused {
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -228,12 +228,13 @@
     /// Starts a request that arrived then, on its route.
     fn route(&mut self, caller: CallerId, head: RequestHead, arrived: Timestamp) {
         if head.id.is_none() {
-            let refusal = Refusal::final_one(RefusalReason::NoIdentity, RefusalPromise::BadRequest);
+            let refusal =
+                Refusal::not_to_repeat(RefusalReason::NoIdentity, RefusalPromise::BadRequest);
             self.refuse(caller, &head, refusal);
             return;
         }
         let Some(route) = self.routes.find(&head.host, &head.path) else {
-            let refusal = Refusal::final_one(RefusalReason::NoRoute, RefusalPromise::NotFound);
+            let refusal = Refusal::not_to_repeat(RefusalReason::NoRoute, RefusalPromise::NotFound);
             self.refuse(caller, &head, refusal);
             return;
         };
@@ -280,8 +281,8 @@
 }
 
 impl Refusal {
-    /// One that its caller is not to try again.
-    fn final_one(reason: RefusalReason, promise: RefusalPromise) -> Self {
+    /// A refusal after which trying again would not help.
+    fn not_to_repeat(reason: RefusalReason, promise: RefusalPromise) -> Self {
         Self {
             reason,
             promise,
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -169,7 +169,7 @@
     /// Most that is kept, as a share of the latency objective, for the time that answers of this
     /// node are seen to wait after they were decided.
     pub delay_share_maximum: f64,
-    /// Quantile of the work after which a second attempt is made.
+    /// Quantile of the work after which a second attempt is made, at the soonest.
     pub hedge_quantile: f64,
     /// Time that is kept for a second attempt before an answer is due, in times that it usually takes.
     pub hedge_reserve: f64,
