--- a/crates/thornbridge-core/src/gateway/action.rs
+++ b/crates/thornbridge-core/src/gateway/action.rs
@@ -8,7 +8,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_config::routes::CallerLimits;
+use thornbridge_proto::byte_string::SharedBytes;
 use thornbridge_proto::peer::PeerMessage;
+use thornbridge_proto::peer::slice::SliceTask;
 use thornbridge_proto::peer::view::StoreRevision;
 use thornbridge_proto::{AttemptId, BackEndId};
 
@@ -164,6 +166,27 @@
         /// Time after which it has failed.
         timeout: Duration,
     },
+    /// Send a caller's request to the owner of a slice, with what it is asked to do.
+    AskOwner {
+        /// Owner.
+        to: SocketAddr,
+        /// Caller whose request it is.
+        caller: CallerId,
+        /// What to do.
+        task: Box<SliceTask>,
+    },
+    /// Keep a request that another node relayed; attempts for it follow.
+    Adopt {
+        /// Handle.
+        caller: CallerId,
+        /// The request, as it came.
+        relayed: SharedBytes,
+    },
+    /// A relayed request is over.
+    Release {
+        /// Handle.
+        caller: CallerId,
+    },
     /// Send to a peer, best effort.
     SendPeer {
         /// Peer.
--- a/crates/thornbridge-core/src/gateway/budget.rs
+++ b/crates/thornbridge-core/src/gateway/budget.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 
 /// Position of a service in the table of services.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct ServiceKey(pub(super) u32);
 
 /// Steps that a window is counted in.
--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -46,12 +46,10 @@
 }
 
 fn merge(request: &Request, gather: &ResolvedGather, progress: Progress) -> GatewayAnswer {
-    let replies: Vec<&ServerReply> = request.legs.iter().filter_map(reply_of).collect();
-    let signatures: Vec<Bytes> = replies
-        .iter()
-        .filter_map(|reply| reply.signature.clone())
-        .collect();
-    let bodies = replies.iter().map(|reply| &reply.body);
+    let signatures: Vec<Bytes> = request.legs.iter().filter_map(signature_of).collect();
+    let replies = request.legs.iter().filter_map(reply_of);
+    let reports = request.slices.iter().flat_map(|slice| &slice.records);
+    let bodies = replies.map(|reply| &reply.body).chain(reports);
     GatewayAnswer::Gathered {
         signatures,
         missing: progress.all - progress.answered,
@@ -59,6 +57,14 @@
     }
 }
 
+fn signature_of(leg: &Leg) -> Option<Bytes> {
+    match &leg.state {
+        LegState::Answered(reply) => reply.signature.clone(),
+        LegState::Reported(signature) => Some(signature.clone()),
+        _ => None,
+    }
+}
+
 fn reply_of(leg: &Leg) -> Option<&ServerReply> {
     match &leg.state {
         LegState::Answered(reply) => Some(reply),
@@ -164,6 +170,8 @@
             denied: request.denied,
             caller_try: request.caller_try,
             retry_after,
+            coordinator: request.coordinator(),
+            slices: request.slice_notes(),
         };
         scope.actions.push_back(GatewayAction::Finished(note));
     }
--- a/crates/thornbridge-core/src/gateway/exchange/delay.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/delay.rs
@@ -36,6 +36,11 @@
         self.mean_s += (delay_s - self.mean_s) * MEAN_WEIGHT;
     }
 
+    /// Whether anything was observed.
+    pub(in crate::gateway) fn is_observed(&self) -> bool {
+        self.observed
+    }
+
     /// Time to keep for it.
     pub(in crate::gateway) fn reserve(&self) -> Duration {
         Duration::from_secs_f64(self.mean_s + DEVIATIONS * self.deviation_s)
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -71,7 +71,7 @@
         server: ServerKey,
         cause: AttemptCause,
     ) {
-        let extra = request.legs[index].sent > 0;
+        let extra = request.legs[index].is_extra();
         if extra && !self.pay(scope, request, index) {
             return;
         }
@@ -209,6 +209,9 @@
         let leg = &request.legs[index];
         let most = request.route.route.attempts;
         let ran = leg.ran();
+        if ran > 0 && request.is_replaced() {
+            return false;
+        }
         let within = ran < most && leg.sent < most + FREE_ATTEMPTS;
         within && (ran == 0 || repeatable(&request.route))
     }
--- a/crates/thornbridge-core/src/gateway/exchange/hedging.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/hedging.rs
@@ -18,6 +18,12 @@
         if !self.may_send_more(request, index) {
             return;
         }
+        if let Some(second_after) = request.second_after()
+            && scope.now < second_after
+        {
+            request.legs[index].look_at = Some(second_after);
+            return;
+        }
         let Some(choice) = self.choose(scope, request, index) else {
             return;
         };
--- a/crates/thornbridge-core/src/gateway/exchange/leg.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/leg.rs
@@ -5,6 +5,7 @@
 use crate::gateway::notes::{AttemptCause, AttemptOutcome};
 use crate::gateway::servers::ServerKey;
 use crate::time::Timestamp;
+use bytes::Bytes;
 use thornbridge_proto::AttemptId;
 
 /// How a part stands.
@@ -18,6 +19,10 @@
     Running,
     /// Answered.
     Answered(Box<ServerReply>),
+    /// Another node answers it.
+    Delegated,
+    /// Another node answered it; its server's signature.
+    Reported(Bytes),
     /// No attempt is left.
     Failed,
 }
@@ -45,6 +50,10 @@
     pub(super) paid: bool,
     /// Whether the budget once denied it an attempt.
     pub(super) denied: bool,
+    /// Attempts that other nodes may have made.
+    pub(super) prior: u32,
+    /// Whether its coordinator was told how it ended.
+    pub(super) reported: bool,
 }
 
 impl Leg {
@@ -61,11 +70,21 @@
             failed_reply: None,
             paid: false,
             denied: false,
+            prior: 0,
+            reported: false,
+        }
+    }
+
+    /// A part of a service that this node does not know.
+    pub(super) fn unknown() -> Self {
+        Self {
+            state: LegState::Failed,
+            ..Self::new(ServiceKey::default())
         }
     }
 
     pub(super) fn is_answered(&self) -> bool {
-        matches!(self.state, LegState::Answered(_))
+        matches!(self.state, LegState::Answered(_) | LegState::Reported(_))
     }
 
     pub(super) fn is_failed(&self) -> bool {
@@ -86,6 +105,11 @@
 
     /// Servers on which it ran or may have run.
     pub(super) fn ran(&self) -> u32 {
-        self.sent - self.not_run
+        self.prior + self.sent - self.not_run
+    }
+
+    /// Whether another attempt is an extra one.
+    pub(super) fn is_extra(&self) -> bool {
+        self.prior + self.sent > 0
     }
 }
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -12,11 +12,14 @@
 mod answering;
 mod attempts;
 mod delay;
+mod delegating;
 mod dispatching;
 mod hedging;
 mod leg;
 mod merging;
+mod owning;
 mod request;
+mod slice;
 #[cfg(test)]
 mod tests;
 
@@ -29,18 +32,21 @@
 use super::patience::CallerTry;
 use super::routes::{ResolvedRoute, ResolvedTarget, RouteTable};
 use super::servers::{ServerKey, Servers};
+use super::slices::Slices;
 use crate::driver_action::{CallerId, ConnectionId};
 use crate::time::Timestamp;
 use attempts::Attempt;
 pub(super) use delay::AnswerDelay;
-use leg::Leg;
+use leg::{Leg, LegState};
 use rand_pcg::Pcg64Mcg;
-use request::Request;
+use request::{Origin, Request};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use thornbridge_config::routes::Repeatability;
 use thornbridge_proto::AttemptId;
+use thornbridge_proto::peer::slice::{SliceId, SliceStop};
 use thornbridge_proto::peer::view::StoreRevision;
 
 /// Times that a request waits in this node for as long as its answer: on its way in and out.
@@ -56,6 +62,11 @@
     pub(super) servers: &'a mut Servers,
     pub(super) routes: &'a mut RouteTable,
     pub(super) budget: &'a mut ExtraAttemptBudget,
+    pub(super) slices: &'a mut Slices,
+    /// Peer address of this node.
+    pub(super) own_address: SocketAddr,
+    /// Whether requests and messages may be older than they say.
+    pub(super) stale: bool,
     /// Revision of the registry, for the log.
     pub(super) registry: StoreRevision,
 }
@@ -71,6 +82,11 @@
     cuts: BTreeSet<(Timestamp, AttemptId)>,
     next_attempt: u64,
     delay: AnswerDelay,
+    /// Slices that others answer: whose request, and its place there.
+    slices: BTreeMap<SliceId, (CallerId, usize)>,
+    /// Slices that this node answers, by coordinator.
+    served: BTreeMap<(SocketAddr, SliceId), CallerId>,
+    next_slice_caller: u64,
 }
 
 impl Exchanges {
@@ -83,6 +99,9 @@
             cuts: BTreeSet::new(),
             next_attempt: 0,
             delay: AnswerDelay::default(),
+            slices: BTreeMap::new(),
+            served: BTreeMap::new(),
+            next_slice_caller: 0,
         }
     }
 
@@ -134,11 +153,11 @@
             self.refuse_unstarted(scope, caller, &id, &route, reason, retry_after);
             return;
         }
-        for service in &services {
-            scope.budget.request(scope.now, *service);
-        }
+        // Owners could not tell how long a request waited for this process to go on.
+        let plan = scope.slices.plan(route.key).filter(|_| !scope.stale);
+        let plan = plan.filter(|plan| plan.covers(services.len()));
         let legs = services.into_iter().map(Leg::new).collect();
-        let request = Request {
+        let mut request = Request {
             caller,
             id,
             route,
@@ -150,7 +169,17 @@
             look_at: times.ends,
             notes: Vec::new(),
             denied: 0,
+            origin: Origin::Caller,
+            slices: Vec::new(),
         };
+        if let Some(plan) = plan {
+            self.delegate(scope, &mut request, &plan);
+        }
+        for leg in &request.legs {
+            if !matches!(leg.state, LegState::Delegated) {
+                scope.budget.request(scope.now, leg.service);
+            }
+        }
         self.schedule.insert((request.look_at, caller));
         self.requests.insert(caller, request);
         self.advance(scope, caller);
@@ -159,7 +188,8 @@
     /// The caller went away. Its attempts mostly end by themselves within the grace.
     pub(super) fn caller_gone(&mut self, scope: &mut Scope<'_>, caller: CallerId) {
         let cut_at = scope.now + self.parameters.gone_grace;
-        if let Some(request) = self.forget(scope, caller, cut_at) {
+        if let Some(mut request) = self.forget(scope, caller, cut_at) {
+            self.stop_slices(scope, &mut request, SliceStop::CallerGone);
             self.note(scope, &request, "caller_gone", None);
         }
     }
@@ -188,10 +218,16 @@
             return;
         };
         self.schedule.remove(&(request.look_at, caller));
+        self.advance_slices(scope, &mut request);
         for index in 0..request.legs.len() {
             self.advance_leg(scope, &mut request, index);
         }
-        if let Some(answer) = answering::answer(&self.parameters, scope.now, &request) {
+        if matches!(request.origin, Origin::Coordinator(_)) {
+            if self.advance_owned(scope, &mut request) {
+                self.finish_owned(scope, request);
+                return;
+            }
+        } else if let Some(answer) = answering::answer(&self.parameters, scope.now, &request) {
             self.finish(scope, request, answer);
             return;
         }
@@ -201,7 +237,7 @@
         self.requests.insert(caller, request);
     }
 
-    fn finish(&mut self, scope: &mut Scope<'_>, request: Request, answer: GatewayAnswer) {
+    fn finish(&mut self, scope: &mut Scope<'_>, mut request: Request, answer: GatewayAnswer) {
         let outcome = answering::outcome(&answer);
         let retry_after = answering::retry_after(&answer);
         let cut_at = request.ends.max(scope.now) + self.parameters.gone_grace;
@@ -211,6 +247,7 @@
         scope
             .actions
             .push_back(GatewayAction::Answer { caller, answer });
+        self.stop_slices(scope, &mut request, SliceStop::Answered);
         self.note(scope, &request, outcome, retry_after);
     }
 
--- a/crates/thornbridge-core/src/gateway/exchange/request.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -1,14 +1,26 @@
 //! A request under way.
 
 use super::leg::Leg;
+use super::owning::Coordinator;
+use super::slice::Slice;
 use crate::driver_action::CallerId;
-use crate::gateway::notes::AttemptNote;
+use crate::gateway::notes::{AttemptNote, SliceNote};
 use crate::gateway::patience::CallerTry;
 use crate::gateway::routes::{ResolvedRoute, ResolvedTarget};
 use crate::gateway::servers::Waiting;
 use crate::time::Timestamp;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
+/// Who gets the answer of a request.
+#[derive(Clone, Debug)]
+pub(super) enum Origin {
+    /// A caller of this node.
+    Caller,
+    /// The node whose caller's gather it is a slice of.
+    Coordinator(Coordinator),
+}
+
 /// A request under way.
 #[derive(Debug)]
 pub(super) struct Request {
@@ -27,6 +39,9 @@
     pub(super) look_at: Timestamp,
     pub(super) notes: Vec<AttemptNote>,
     pub(super) denied: usize,
+    pub(super) origin: Origin,
+    /// Slices that other nodes answer.
+    pub(super) slices: Vec<Slice>,
 }
 
 /// How the parts stand.
@@ -76,7 +91,48 @@
 
     /// Whether any server may have run a part of it.
     pub(super) fn may_have_run(&self) -> bool {
-        self.legs.iter().any(|leg| leg.ran() > 0)
+        let legs = self.legs.iter().any(|leg| leg.ran() > 0);
+        legs || self.slices.iter().any(|slice| slice.attempts > 0)
+    }
+
+    /// Before this no second attempt is made, where its coordinator said so.
+    pub(super) fn second_after(&self) -> Option<Timestamp> {
+        match &self.origin {
+            Origin::Caller => None,
+            Origin::Coordinator(coordinator) => Some(coordinator.second_after),
+        }
+    }
+
+    /// The node whose caller's gather it is a slice of.
+    pub(super) fn coordinator(&self) -> Option<SocketAddr> {
+        match &self.origin {
+            Origin::Caller => None,
+            Origin::Coordinator(coordinator) => Some(coordinator.address),
+        }
+    }
+
+    /// Its slices, for the log.
+    pub(super) fn slice_notes(&self) -> Vec<SliceNote> {
+        let slices = self.slices.iter();
+        slices.flat_map(|slice| slice.notes(self.arrived)).collect()
+    }
+
+    /// Whether another node has it, too, and makes the second attempts.
+    pub(super) fn is_replaced(&self) -> bool {
+        match &self.origin {
+            Origin::Caller => false,
+            Origin::Coordinator(coordinator) => coordinator.replaced,
+        }
+    }
+
+    /// When a report is due to its coordinator.
+    pub(super) fn report_at(&self) -> Option<Timestamp> {
+        match &self.origin {
+            Origin::Coordinator(coordinator) if !coordinator.has_reported => {
+                Some(coordinator.second_after.min(self.answer_by))
+            }
+            _ => None,
+        }
     }
 
     /// When it is to be looked at, if no attempt ends before.
@@ -84,7 +140,8 @@
         let legs = self.legs.iter().filter(|leg| !leg.is_over());
         let legs = legs.filter_map(|leg| leg.look_at).min();
         let answer_by = (self.is_gather() && now < self.answer_by).then_some(self.answer_by);
-        [legs, answer_by, Some(self.ends)]
+        let silent = self.slices.iter().filter_map(|slice| slice.silent_at).min();
+        [legs, answer_by, silent, self.report_at(), Some(self.ends)]
             .into_iter()
             .flatten()
             .min()
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -8,13 +8,17 @@
 use super::notes::{GatewayChange, RequestNote};
 use super::parameters::GatewayParameters;
 use super::patience::CallerTry;
+use super::routes::RouteTable;
 use crate::driver_action::CallerId;
 use crate::membership::Membership;
 use crate::time::Timestamp;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time between looks at servers without a connection.
 const WARMING_INTERVAL: Duration = Duration::from_millis(200);
+/// Time after a pause of the process in which messages may be older than they say.
+const STALE_AFTER_PAUSE: Duration = Duration::from_millis(100);
 /// Time after a start at which a node is ready though some shards have no connection.
 const READY_ANYWAY: Duration = Duration::from_millis(1_500);
 
@@ -52,12 +56,15 @@
             }
             GatewayEvent::PeerMessage { from, message } => self.peer_message(from, message),
             GatewayEvent::PeerLinkDown { address } => {
+                let (exchanges, mut scope) = self.exchanges();
+                exchanges.peer_lost(&mut scope, address);
                 self.with_membership(|membership, context| membership.link_down(context, address));
             }
             GatewayEvent::TimerDue => self.timer_due(),
             GatewayEvent::StopAsked => self.stop_asked(),
             GatewayEvent::Reconfigured { parameters } => self.reconfigure(*parameters),
             GatewayEvent::Paused { .. } => {
+                self.stale_until = self.now + STALE_AFTER_PAUSE;
                 self.with_membership(|membership, context| membership.clock_jumped(context));
             }
         }
@@ -92,6 +99,9 @@
             servers: &mut self.servers,
             routes: &mut self.routes,
             budget: &mut self.budget,
+            slices: &mut self.slices,
+            own_address: self.own_address,
+            stale: self.now < self.stale_until,
             registry: self.registry.upto().unwrap_or_default(),
         };
         (&mut self.exchanges, scope)
@@ -121,6 +131,7 @@
             self.next_warming = self.now + WARMING_INTERVAL;
             let kept = self.parameters.views.departures_kept;
             self.registry.forget(self.now, kept);
+            self.divide();
             self.servers.keep_warm(self.now, &mut self.actions);
         }
         for request in self.awaiting.take_overdue(self.now) {
@@ -131,6 +142,21 @@
         exchanges.timer_due(&mut scope);
     }
 
+    /// Divides gathers anew where what that goes by changed.
+    pub(super) fn divide(&mut self) {
+        if !std::mem::take(&mut self.division_stale) {
+            return;
+        }
+        let mut owned = self.slices.divide(&self.routes, &self.servers);
+        if let Some(staged) = self.staging.get() {
+            let configuration = Arc::clone(&staged.configuration);
+            let mut routes = RouteTable::default();
+            routes.apply(&configuration, &mut self.servers);
+            owned.extend(self.slices.divide_ahead(&routes, &self.servers));
+        }
+        self.servers.set_ownership(&owned);
+    }
+
     /// The caller waited for a configuration in vain; it is told to come back while it can.
     fn refuse_without_configuration(&mut self, request: AwaitingRequest) {
         let caller_try = self.awaiting.judge(&request);
@@ -161,6 +187,8 @@
         self.budget.set_parameters(parameters.budget.clone());
         self.servers.parameters = parameters.servers.clone();
         self.exchanges.set_parameters(parameters.exchange.clone());
+        self.slices.set_parameters(parameters.slices.clone());
+        self.division_stale = true;
         self.configuration_source
             .set_parameters(parameters.views.clone());
         self.registry_source
--- a/crates/thornbridge-core/src/gateway/members.rs
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -59,7 +59,10 @@
             address: member.endpoint.address,
             zone: member.zone.clone(),
         });
-        self.servers.set_sharers(self.now, sharers.collect());
+        let sharers: Vec<Sharer> = sharers.collect();
+        self.slices.set_members(sharers.clone());
+        self.division_stale = true;
+        self.servers.set_sharers(self.now, sharers);
         if members != self.members {
             self.members = members;
             let change = GatewayChange::Members { members };
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! | `routes` | the configuration in force, resolved |
 //! | `servers` | what is known of servers, their connections, the choice among them |
 //! | `exchange` | requests: attempts, hedges, retries, completeness, answers |
+//! | `slices` | gathers that are divided among nodes: groups of shards and their owners |
 //! | `awaiting` | requests that came before any configuration |
 //! | `budget` | extra attempts, shared by all nodes |
 //! | [`crate::membership`] | who shares the budgets |
@@ -29,6 +30,7 @@
 mod patience;
 mod routes;
 mod servers;
+mod slices;
 mod staging;
 #[cfg(test)]
 mod tests;
@@ -44,10 +46,12 @@
     SourceFailure, SourceReply, ViewKind, ViewObject,
 };
 pub use notes::{
-    AttemptCause, AttemptNote, AttemptOutcome, GatewayChange, RequestNote, ViewOrigin,
+    AttemptCause, AttemptNote, AttemptOutcome, GatewayChange, RequestNote, SliceNote, SliceOutcome,
+    ViewOrigin,
 };
 pub use parameters::{
-    BudgetParameters, ExchangeParameters, GatewayParameters, ServerParameters, ViewParameters,
+    BudgetParameters, ExchangeParameters, GatewayParameters, ServerParameters, SliceParameters,
+    ViewParameters,
 };
 pub use patience::CallerTry;
 pub use servers::Placement;
@@ -59,10 +63,11 @@
 use awaiting::Awaiting;
 use budget::ExtraAttemptBudget;
 use exchange::Exchanges;
-use rand::SeedableRng;
+use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use routes::RouteTable;
 use servers::Servers;
+use slices::Slices;
 use staging::Staging;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -114,6 +119,12 @@
     servers: Servers,
     budget: ExtraAttemptBudget,
     exchanges: Exchanges,
+    slices: Slices,
+    own_address: SocketAddr,
+    /// Whether members, shards or servers changed since gathers were divided.
+    division_stale: bool,
+    /// Until when messages of peers may have waited for this process to go on.
+    stale_until: Timestamp,
     awaiting: Awaiting,
     ready: bool,
     stopping: bool,
@@ -141,9 +152,11 @@
         let views = &parameters.views;
         let own_address = setup.endpoint.address;
         let joins_through_others = !setup.seeds.is_empty() && !setup.seeds.contains(&own_address);
+        let mut random = Pcg64Mcg::seed_from_u64(setup.seed);
+        let first_slice = random.random();
         Self {
             now: Timestamp::ZERO,
-            random: Pcg64Mcg::seed_from_u64(setup.seed),
+            random,
             actions: VecDeque::new(),
             membership: Membership::new(parameters.membership.clone(), own, setup.seeds),
             member_actions: VecDeque::new(),
@@ -156,6 +169,15 @@
             configuration: None,
             staging: Staging::default(),
             routes: RouteTable::default(),
+            slices: Slices::new(
+                parameters.slices.clone(),
+                setup.placement.clone(),
+                own_address,
+                first_slice,
+            ),
+            own_address,
+            division_stale: true,
+            stale_until: Timestamp::ZERO,
             servers: Servers::new(
                 parameters.servers.clone(),
                 setup.placement,
--- a/crates/thornbridge-core/src/gateway/notes.rs
+++ b/crates/thornbridge-core/src/gateway/notes.rs
@@ -3,6 +3,7 @@
 use super::action::RefusalReason;
 use super::event::ViewKind;
 use super::patience::CallerTry;
+use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_config::routes::RouteVersion;
 use thornbridge_proto::BackEndId;
@@ -82,6 +83,48 @@
     }
 }
 
+/// How an owner that was asked for a slice stood when the request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SliceOutcome {
+    /// It did not report.
+    Asked,
+    /// It reported, and not all of its shards were over.
+    Reporting,
+    /// It reported how all of its shards ended.
+    Finished,
+    /// It did not serve the slice.
+    Refused,
+    /// The link to it broke.
+    Lost,
+    /// Another owner reported first.
+    Stopped,
+}
+
+impl SliceOutcome {
+    /// Name for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Asked => "asked",
+            Self::Reporting => "reporting",
+            Self::Finished => "finished",
+            Self::Refused => "refused",
+            Self::Lost => "lost",
+            Self::Stopped => "stopped",
+        }
+    }
+}
+
+/// One owner that was asked for a slice, as a log line tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SliceNote {
+    /// Owner.
+    pub owner: SocketAddr,
+    /// Time from the request's arrival to asking.
+    pub asked_after: Duration,
+    /// How it stood at the end.
+    pub outcome: SliceOutcome,
+}
+
 /// How a request ended, for the log and the metrics.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RequestNote {
@@ -113,6 +156,10 @@
     pub caller_try: CallerTry,
     /// When a refused caller was told to come back.
     pub retry_after: Option<Duration>,
+    /// The node whose caller's gather this was a slice of.
+    pub coordinator: Option<SocketAddr>,
+    /// Owners that were asked for slices.
+    pub slices: Vec<SliceNote>,
 }
 
 impl RequestNote {
@@ -139,6 +186,8 @@
             denied: 0,
             caller_try: CallerTry::Unknown,
             retry_after: None,
+            coordinator: None,
+            slices: Vec::new(),
         }
     }
 
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -193,6 +193,10 @@
     /// Time after a start in which servers that are not registered may still come: the store may
     /// have lost their entries while it was away.
     pub settling: Duration,
+    /// Time beyond the expected report after which an owner of a slice counts as silent, as a share
+    /// of the latency objective. The answer is late by then: asking another owner sooner makes few
+    /// answers timely, and risks one attempt too many where the report is merely slow.
+    pub silent_owner_share: f64,
     /// Requests at once, beyond which new ones are refused.
     pub requests_maximum: usize,
 }
@@ -213,6 +217,7 @@
             retry_after_share: 0.25,
             awaiting_share: 0.35,
             settling: Duration::from_secs(3),
+            silent_owner_share: 1.0,
             requests_maximum: 400,
         }
     }
@@ -246,6 +251,43 @@
     }
 }
 
+/// Tunable values of gathers that are divided among nodes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct SliceParameters {
+    /// Time that this node needs for one part of a gather: to send it and to take its answer. Zero
+    /// where it is not known; gathers are not divided then.
+    pub part_cost: Duration,
+    /// Way to another node and back, as far as it is known before one was asked: two zones of a
+    /// region.
+    pub hop: Duration,
+    /// Share of the latency objective that a whole gather may take of this node's time before it
+    /// is divided.
+    pub whole_share_maximum: f64,
+    /// Most that is kept for the way to an owner and back, as a share of the latency objective.
+    pub overhead_share_maximum: f64,
+    /// What is kept before anything was observed.
+    pub overhead_share_initial: f64,
+    /// Half-life of an owner's failures.
+    pub failure_half_life: Duration,
+}
+
+impl Default for SliceParameters {
+    fn default() -> Self {
+        Self {
+            part_cost: Duration::ZERO,
+            hop: Duration::from_millis(3),
+            whole_share_maximum: 0.25,
+            overhead_share_maximum: 0.5,
+            overhead_share_initial: 0.2,
+            failure_half_life: Duration::from_secs(2),
+        }
+    }
+}
+
+/// Time that a whole processor core needs for one part of a gather.
+const PART_COST_OF_A_CORE: Duration = Duration::from_micros(100);
+
 /// All tunable values of a gateway.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -256,6 +298,8 @@
     pub servers: ServerParameters,
     /// Requests.
     pub exchange: ExchangeParameters,
+    /// Gathers that are divided among nodes.
+    pub slices: SliceParameters,
     /// Extra attempts.
     pub budget: BudgetParameters,
     /// Membership.
@@ -274,6 +318,13 @@
 const UNCONFIRMED_SHARE: f64 = 0.85;
 
 impl GatewayParameters {
+    /// Fits the division of gathers to the share of a processor core that this node has.
+    pub fn fit_processor(&mut self, share: f64) {
+        if share.is_finite() && share > 0.0 {
+            self.slices.part_cost = PART_COST_OF_A_CORE.div_f64(share);
+        }
+    }
+
     /// Fits the views and servers to the operator's bounds: the time in which a configuration must be
     /// in force, and the time after which a leaving server must get nothing.
     pub fn fit(&mut self, in_force: Duration, drain: Duration) {
--- a/crates/thornbridge-core/src/gateway/routes.rs
+++ b/crates/thornbridge-core/src/gateway/routes.rs
@@ -12,7 +12,7 @@
 const SHARE_TOLERANCE: f64 = 1e-9;
 
 /// Identity of a route over versions: host and prefix.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct RouteKey(pub(super) u64);
 
 /// A target with its services' positions.
@@ -102,6 +102,23 @@
         found.cloned()
     }
 
+    /// All routes.
+    pub(super) fn all(&self) -> impl Iterator<Item = &Arc<ResolvedRoute>> {
+        self.by_host.values().flatten()
+    }
+
+    /// Identity of a route; that of no route where there is none.
+    pub(super) fn key_of(&self, host: &str, prefix: &str) -> RouteKey {
+        let identity = (host.to_owned(), prefix.to_owned());
+        self.keys.get(&identity).copied().unwrap_or_default()
+    }
+
+    /// Operator's name of a route.
+    pub(super) fn name_of(&self, key: RouteKey) -> &str {
+        let route = self.all().find(|route| route.key == key);
+        route.map_or("", |route| &route.route.name)
+    }
+
     /// What is learnt of a route.
     pub(super) fn statistics(&mut self, key: RouteKey) -> &mut RouteStatistics {
         self.statistics.entry(key).or_default()
--- a/crates/thornbridge-core/src/gateway/servers/connections.rs
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -20,6 +20,9 @@
 /// Most that is left unused of it: the way, and a stall of this node.
 const KEEP_ALIVE_RESERVE_MAXIMUM: Duration = Duration::from_millis(500);
 
+/// Nodes that may take themselves for one of the owners, for each that is.
+const OWNERS_RESERVE: u32 = 2;
+
 /// Time after a start in which connections are opened ahead of use though servers refuse many.
 const SCARCE_AFTER: Duration = Duration::from_millis(1_500);
 /// A connection that is open or opening.
@@ -60,7 +63,10 @@
         let Some(all) = known else {
             return UNKNOWN_CONNECTIONS;
         };
-        let members = self.members.maximum(now).max(1) as f64;
+        let members = match self.services[service.0 as usize].ownership {
+            Some(ownership) => f64::from(ownership.owners * OWNERS_RESERVE),
+            None => self.members.maximum(now).max(1) as f64,
+        };
         let share = f64::from(all) * self.parameters.connection_share / members;
         (share as u32).clamp(1, self.parameters.connections_maximum)
     }
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -21,6 +21,7 @@
 use super::budget::ServiceKey;
 use super::notes::{GatewayChange, ViewOrigin};
 use super::parameters::ServerParameters;
+use super::slices::Ownership;
 use super::window::MaximumWindow;
 use crate::driver_action::ConnectionId;
 use crate::time::Timestamp;
@@ -53,11 +54,14 @@
 
 #[derive(Debug, Default)]
 struct ServiceEntry {
+    name: Option<ServiceName>,
     servers: Vec<ServerKey>,
     /// Connections that each server takes from all callers together, where it is known.
     connections: Option<u32>,
     /// Connections that this node may have to each server.
     own_connections: u32,
+    /// Who keeps connections to its servers, where it belongs to a group of shards.
+    ownership: Option<Ownership>,
 }
 
 /// All servers.
@@ -105,11 +109,37 @@
             return *key;
         }
         let key = ServiceKey(self.services.len() as u32);
-        self.services.push(ServiceEntry::default());
+        self.services.push(ServiceEntry {
+            name: Some(name.clone()),
+            ..ServiceEntry::default()
+        });
         self.service_names.insert(name.clone(), key);
         key
     }
 
+    /// The position of a service that is known.
+    pub(super) fn known_service(&self, name: &ServiceName) -> Option<ServiceKey> {
+        self.service_names.get(name).copied()
+    }
+
+    /// Name of a service.
+    pub(super) fn service_name(&self, key: ServiceKey) -> Option<&ServiceName> {
+        self.services.get(key.0 as usize)?.name.as_ref()
+    }
+
+    /// Takes who owns which service; the others are shared by all members.
+    pub(super) fn set_ownership(&mut self, owned: &BTreeMap<ServiceKey, Ownership>) {
+        for index in 0..self.services.len() as u32 {
+            let key = ServiceKey(index);
+            let ownership = owned.get(&key).copied();
+            let entry = &mut self.services[index as usize];
+            if entry.ownership != ownership {
+                entry.ownership = ownership;
+                self.subset.invalidate(key);
+            }
+        }
+    }
+
     /// Takes what a configuration says of services, and the services to keep connections to.
     pub(super) fn configure(&mut self, services: &[RoutedService], warm: BTreeSet<ServiceKey>) {
         for service in services {
@@ -149,8 +179,12 @@
         others.any(|key| self.get(*key).is_some_and(Server::takes_requests))
     }
 
-    /// Whether a server of the service has an open connection.
+    /// Whether a server of the service has an open connection, or other nodes serve it.
     pub(super) fn is_warm(&self, service: ServiceKey) -> bool {
+        let ownership = self.services[service.0 as usize].ownership;
+        if ownership.is_some_and(|ownership| !ownership.own) {
+            return true;
+        }
         self.of_service(service)
             .any(|server| server.takes_requests() && server.open > 0)
     }
--- a/crates/thornbridge-core/src/gateway/servers/subset.rs
+++ b/crates/thornbridge-core/src/gateway/servers/subset.rs
@@ -106,7 +106,10 @@
             .copied()
             .filter(|key| self.servers.get(key).is_some_and(|s| s.takes_requests()))
             .collect();
-        let shares = self.shares(now, &keys, limit);
+        let shares = match entry.ownership {
+            Some(ownership) => vec![u32::from(ownership.own); keys.len()],
+            None => self.shares(now, &keys, limit),
+        };
         for (key, share) in keys.iter().zip(shares) {
             if let Some(server) = self.servers.get_mut(key) {
                 server.assigned = share > 0;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/slices/mod.rs
@@ -0,0 +1,143 @@
+//! How gathers over many shards are divided among nodes.
+//!
+//! A gather over many shards is too much work for one small node: its parts wait for the processor,
+//! and a node that serves few gathers has neither open connections nor fresh knowledge of the
+//! servers. Shards are therefore grouped, and each group has a few members that own it. The node
+//! that has the caller, the coordinator, asks one owner of each group; owners see every caller's
+//! traffic for their shards, so that connections stay in use and slow servers are known.
+//!
+//! Guards against a gather that is divided where it is cheaper whole, and against owners that do
+//! not answer: those are avoided for a while.
+
+mod assignment;
+mod plan;
+
+pub(super) use plan::{Group, Ownership, Plan};
+
+use super::exchange::AnswerDelay;
+use super::parameters::SliceParameters;
+use super::routes::RouteKey;
+use super::servers::{Placement, Sharer};
+use crate::time::Timestamp;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use thornbridge_proto::peer::slice::SliceId;
+
+/// Failures beyond which an owner is avoided.
+const AVOIDED_FAILURES: f64 = 0.5;
+/// Owners that failed lately and are remembered at most.
+const REMEMBERED_FAILURES: usize = 1_024;
+
+/// Plans of gathers, and what is known of the owners.
+#[derive(Debug)]
+pub(super) struct Slices {
+    parameters: SliceParameters,
+    placement: Placement,
+    own: SocketAddr,
+    members: Vec<Sharer>,
+    plans: BTreeMap<RouteKey, Arc<Plan>>,
+    /// Failures of owners, decaying, at a time.
+    failures: BTreeMap<SocketAddr, (f64, Timestamp)>,
+    /// Time that slices take beyond what their owners say.
+    overhead: AnswerDelay,
+    next_slice: u64,
+}
+
+impl Slices {
+    pub(super) fn new(
+        parameters: SliceParameters,
+        placement: Placement,
+        own: SocketAddr,
+        first_slice: u64,
+    ) -> Self {
+        Self {
+            parameters,
+            placement,
+            own,
+            members: Vec::new(),
+            plans: BTreeMap::new(),
+            failures: BTreeMap::new(),
+            overhead: AnswerDelay::default(),
+            next_slice: first_slice,
+        }
+    }
+
+    /// Takes new tunable values.
+    pub(super) fn set_parameters(&mut self, parameters: SliceParameters) {
+        self.parameters = parameters;
+    }
+
+    /// Members that take work, this node included.
+    pub(super) fn set_members(&mut self, members: Vec<Sharer>) {
+        self.members = members;
+    }
+
+    /// How a route's gathers are divided, where they are.
+    pub(super) fn plan(&self, route: RouteKey) -> Option<Arc<Plan>> {
+        self.plans.get(&route).cloned()
+    }
+
+    /// A new identity.
+    pub(super) fn next_id(&mut self) -> SliceId {
+        self.next_slice = self.next_slice.wrapping_add(1);
+        SliceId(self.next_slice)
+    }
+
+    /// The owner of a group to ask, but for these: the first in order that did not fail lately,
+    /// else the one that failed least.
+    pub(super) fn choose_owner(
+        &self,
+        now: Timestamp,
+        group: &Group,
+        excluded: &[SocketAddr],
+    ) -> Option<SocketAddr> {
+        let others = group.owners.iter().copied();
+        let others: Vec<SocketAddr> = others.filter(|owner| !excluded.contains(owner)).collect();
+        let trusted = others
+            .iter()
+            .find(|owner| self.failures_of(now, **owner) < AVOIDED_FAILURES);
+        let least = || {
+            let by_failures = |left: &&SocketAddr, right: &&SocketAddr| {
+                self.failures_of(now, **left)
+                    .total_cmp(&self.failures_of(now, **right))
+            };
+            others.iter().min_by(by_failures)
+        };
+        trusted.or_else(least).copied()
+    }
+
+    /// An owner did not answer.
+    pub(super) fn owner_failed(&mut self, now: Timestamp, owner: SocketAddr) {
+        let failures = self.failures_of(now, owner) + 1.0;
+        if self.failures.len() >= REMEMBERED_FAILURES && !self.failures.contains_key(&owner) {
+            self.failures.pop_first();
+        }
+        self.failures.insert(owner, (failures, now));
+    }
+
+    /// An owner answered.
+    pub(super) fn owner_answered(&mut self, owner: SocketAddr, overhead: Duration) {
+        self.failures.remove(&owner);
+        self.overhead.observe(overhead);
+    }
+
+    /// Time to keep for the way to an owner and back, and for both nodes' queues.
+    pub(super) fn overhead(&self, objective: Duration) -> Duration {
+        let most = objective.mul_f64(self.parameters.overhead_share_maximum);
+        match self.overhead.is_observed() {
+            true => self.overhead.reserve().min(most),
+            false => objective.mul_f64(self.parameters.overhead_share_initial),
+        }
+    }
+
+    fn failures_of(&self, now: Timestamp, owner: SocketAddr) -> f64 {
+        let Some((failures, at)) = self.failures.get(&owner) else {
+            return 0.0;
+        };
+        let half_lives =
+            now.since(*at).as_secs_f64() / self.parameters.failure_half_life.as_secs_f64();
+        failures * 0.5_f64.powf(half_lives)
+    }
+}
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -9,6 +9,7 @@
 mod registries;
 mod routing;
 mod scarcity;
+mod slices;
 mod sources;
 mod speeds;
 mod subsets;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/tests/slices.rs
@@ -0,0 +1,429 @@
+//! Gathers that are divided among nodes: their coordinator's side and their owners'.
+
+use super::support::{Harness, answer, answer_all, gather, millis, peer, route, verdict};
+use crate::driver_action::CallerId;
+use crate::gateway::{
+    GatewayAnswer, GatewayEvent, GatewayParameters, RefusalPromise, ReplyVerdict,
+};
+use assert_matches::assert_matches;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thornbridge_config::routes::Repeatability;
+use thornbridge_proto::ServiceName;
+use thornbridge_proto::byte_string::SharedBytes;
+use thornbridge_proto::peer::PeerEndpoint;
+use thornbridge_proto::peer::slice::{SliceId, SliceMessage, SliceReport, SliceStop, SliceTask};
+
+const SHARDS: usize = 36;
+/// Shards without which an answer is no success, as a share.
+const LEAST_SHARE: f64 = 0.9;
+/// Members beside the node under test.
+const PEERS: u8 = 20;
+/// Share of a core on which a gather over these shards takes too long for one node.
+const SMALL_SHARE: f64 = 0.05;
+
+/// A node among others, with a gather over many shards of two servers each.
+fn node(processor_share: f64) -> Harness {
+    let names: Vec<String> = (0..SHARDS).map(|shard| format!("shard-{shard}")).collect();
+    let shards: Vec<&str> = names.iter().map(String::as_str).collect();
+    let target = gather(&shards, LEAST_SHARE);
+    let mut search = route("/search/", target, Repeatability::Repeatable);
+    search.latency_objective = millis(200);
+    let servers: Vec<(String, &str)> = shards
+        .iter()
+        .flat_map(|shard| (0..2).map(move |copy| (format!("{shard}-{copy}"), *shard)))
+        .collect();
+    let servers: Vec<(&str, &str)> = servers
+        .iter()
+        .map(|(id, shard)| (id.as_str(), *shard))
+        .collect();
+    let mut harness = Harness::serving(vec![search], &servers);
+    let mut parameters = GatewayParameters::default();
+    parameters.fit_processor(processor_share);
+    parameters.budget.ratio = 0.5;
+    parameters.budget.slack = 100.0;
+    parameters.budget.settling = Duration::ZERO;
+    let parameters = Box::new(parameters);
+    harness.event(GatewayEvent::Reconfigured { parameters });
+    harness.joined_by(PEERS);
+    harness.wait(millis(300));
+    harness
+}
+
+fn endpoint(address: SocketAddr) -> PeerEndpoint {
+    let all = (1..=PEERS).map(peer);
+    let mut found = all.filter(|peer| peer.address == address);
+    found.next().expect("a peer")
+}
+
+/// A report about these places of a task, each with one record of this byte.
+fn report_of(task: &SliceTask, places: std::ops::Range<usize>, byte: u8) -> SliceReport {
+    let signature = |place: usize| format!("{}", task.shards[place]).into_bytes();
+    let answered = places.clone().map(|place| {
+        let signature = SharedBytes::from(signature(place));
+        (place as u16, signature)
+    });
+    SliceReport {
+        answered: answered.collect(),
+        records: vec![byte; 16 * places.len().min(2)].into(),
+        finished: places.len() == task.shards.len(),
+        ..SliceReport::default()
+    }
+}
+
+fn report(harness: &mut Harness, owner: SocketAddr, task: &SliceTask, report: SliceReport) {
+    let slice = task.slice;
+    let message = SliceMessage::Report { slice, report };
+    harness.slice_message(endpoint(owner), message);
+}
+
+/// All owners report all of their shards.
+fn report_all(harness: &mut Harness, tasks: &[(SocketAddr, SliceTask)]) {
+    for (owner, task) in tasks {
+        let whole = report_of(task, 0..task.shards.len(), b'1');
+        report(harness, *owner, task, whole);
+    }
+}
+
+fn missing(harness: &Harness, caller: CallerId) -> Option<usize> {
+    match harness.answers.get(&caller)? {
+        GatewayAnswer::Gathered {
+            missing,
+            signatures,
+            ..
+        } => {
+            let mut distinct = signatures.clone();
+            distinct.sort();
+            distinct.dedup();
+            assert_eq!(distinct.len(), signatures.len(), "a part twice");
+            assert_eq!(signatures.len() + missing, SHARDS);
+            Some(*missing)
+        }
+        _ => None,
+    }
+}
+
+fn stops(harness: &Harness, slice: SliceId) -> Vec<SliceStop> {
+    let messages = harness.slice_messages.iter();
+    let stops = messages.filter_map(|(_, message)| match message {
+        SliceMessage::Stop { slice: id, reason } if *id == slice => Some(*reason),
+        _ => None,
+    });
+    stops.collect()
+}
+
+#[test]
+fn a_wide_gather_is_divided_where_one_node_is_too_slow() {
+    let mut harness = node(SMALL_SHARE);
+    let caller = harness.ask("/search/1");
+    assert_eq!(harness.sent_for(caller).len(), 0);
+    let tasks = harness.tasks.clone();
+    let shards: usize = tasks.iter().map(|(_, task)| task.shards.len()).sum();
+    assert_eq!(shards, SHARDS);
+    report_all(&mut harness, &tasks);
+    assert_eq!(missing(&harness, caller), Some(0));
+}
+
+#[test]
+fn a_node_with_a_whole_core_asks_the_servers_itself() {
+    let mut harness = node(1.0);
+    let caller = harness.ask("/search/1");
+    assert!(harness.tasks.is_empty());
+    assert_eq!(harness.sent_for(caller).len(), SHARDS);
+}
+
+#[test]
+fn the_answer_holds_the_greatest_records_of_all_reports() {
+    let mut harness = node(SMALL_SHARE);
+    let caller = harness.ask("/search/1");
+    let tasks = harness.tasks.clone();
+    for (index, (owner, task)) in tasks.iter().enumerate() {
+        let whole = report_of(task, 0..task.shards.len(), index as u8);
+        report(&mut harness, *owner, task, whole);
+    }
+    let Some(GatewayAnswer::Gathered { records, .. }) = harness.answers.get(&caller) else {
+        panic!("no answer");
+    };
+    let greatest = tasks.len() as u8 - 1;
+    assert_eq!(records.as_ref(), [greatest; 32]);
+}
+
+#[test]
+fn a_slice_whose_owner_is_gone_is_asked_of_another() {
+    let mut harness = node(SMALL_SHARE);
+    let caller = harness.ask("/search/1");
+    let tasks = std::mem::take(&mut harness.tasks);
+    let (gone, lost) = tasks[0].clone();
+    report_all(&mut harness, &tasks[1..]);
+    harness.event(GatewayEvent::PeerLinkDown { address: gone });
+    let again = harness.tasks.clone();
+    let (owner, task) = &again[0];
+    assert_ne!(*owner, gone);
+    assert_eq!(task.shards, lost.shards);
+    assert_eq!(task.prior_attempts, 1);
+    report_all(&mut harness, &again);
+    assert_eq!(missing(&harness, caller), Some(0));
+}
+
+#[test]
+fn a_slice_that_may_have_had_all_its_attempts_is_asked_of_nobody() {
+    let mut harness = node(SMALL_SHARE);
+    let caller = harness.ask("/search/1");
+    let tasks = std::mem::take(&mut harness.tasks);
+    report_all(&mut harness, &tasks[1..]);
+    // Second attempts may have been made by now.
+    harness.wait(Duration::from_micros(tasks[0].1.second_after_us) + millis(1));
+    let address = tasks[0].0;
+    harness.event(GatewayEvent::PeerLinkDown { address });
+    assert!(harness.tasks.is_empty());
+    assert_eq!(harness.sent_for(caller).len(), 0);
+    harness.wait(millis(300));
+    assert_eq!(harness.refused(caller), Some(RefusalPromise::MayHaveRun));
+}
+
+#[test]
+fn a_silent_owner_is_replaced_and_the_first_report_counts() {
+    let mut harness = node(SMALL_SHARE);
+    let caller = harness.ask("/search/1");
+    let tasks = std::mem::take(&mut harness.tasks);
+    report_all(&mut harness, &tasks[1..]);
+    let (silent, task) = tasks[0].clone();
+    harness.wait(millis(400));
+    assert_eq!(stops(&harness, task.slice), [SliceStop::Replaced]);
+    // Its report comes late, and is as good as any.
+    let whole = report_of(&task, 0..task.shards.len(), b'1');
+    report(&mut harness, silent, &task, whole);
+    assert_eq!(missing(&harness, caller), Some(0));
+    for (_, replacement) in harness.tasks.clone() {
+        assert_eq!(stops(&harness, replacement.slice), [SliceStop::Answered]);
+    }
+}
+
+#[test]
+fn a_late_report_replaces_the_answers_that_this_node_got_itself() {
+    let mut harness = node(SMALL_SHARE);
+    let caller = harness.ask("/search/1");
+    let tasks = std::mem::take(&mut harness.tasks);
+    report_all(&mut harness, &tasks[1..]);
+    let (owner, task) = tasks[0].clone();
+    let none = SliceReport {
+        failed: vec![(0, false)],
+        ..SliceReport::default()
+    };
+    // The owner could not send its first shard: this node does, and has an answer.
+    report(&mut harness, owner, &task, none);
+    let sent = harness.sent_for(caller);
+    assert_eq!(sent.len(), 1);
+    harness.reply(sent[0].attempt, answer(b"0000000000000009"));
+    let whole = report_of(&task, 0..task.shards.len(), b'1');
+    report(&mut harness, owner, &task, whole);
+    assert_eq!(missing(&harness, caller), Some(0));
+    let Some(GatewayAnswer::Gathered { records, .. }) = harness.answers.get(&caller) else {
+        panic!("no answer");
+    };
+    assert_eq!(records.as_ref(), [b'1'; 32]);
+}
+
+#[test]
+fn a_refused_slice_did_not_run() {
+    let mut harness = node(SMALL_SHARE);
+    let caller = harness.ask("/search/1");
+    for _ in 0..3 {
+        for (owner, task) in std::mem::take(&mut harness.tasks) {
+            let refused = SliceReport {
+                refused: true,
+                finished: true,
+                ..SliceReport::default()
+            };
+            report(&mut harness, owner, &task, refused);
+        }
+    }
+    // All owners refused: this node asks the servers, as it would without owners.
+    assert_eq!(harness.sent_for(caller).len(), SHARDS);
+    answer_all(&mut harness);
+    let answer = harness.answers.get(&caller);
+    assert_matches!(answer, Some(GatewayAnswer::Gathered { missing: 0, .. }));
+}
+
+#[test]
+fn owners_hear_that_the_caller_left() {
+    let mut harness = node(SMALL_SHARE);
+    let caller = harness.ask("/search/1");
+    harness.event(GatewayEvent::CallerGone { caller });
+    for (_, task) in harness.tasks.clone() {
+        assert_eq!(stops(&harness, task.slice), [SliceStop::CallerGone]);
+    }
+}
+
+#[test]
+fn enough_shards_are_an_answer_when_it_is_due() {
+    let mut harness = node(SMALL_SHARE);
+    let caller = harness.ask("/search/1");
+    let tasks = harness.tasks.clone();
+    report_all(&mut harness, &tasks[1..]);
+    let (owner, task) = &tasks[0];
+    let part = report_of(task, 0..task.shards.len() - 1, b'1');
+    report(&mut harness, *owner, task, part);
+    harness.wait(millis(200));
+    assert_eq!(missing(&harness, caller), Some(1));
+    assert_eq!(stops(&harness, task.slice), [SliceStop::Answered]);
+}
+
+// Owners.
+
+fn task(shards: &[&str], prior_attempts: u32) -> SliceTask {
+    SliceTask {
+        slice: SliceId(7),
+        request_id: "request".to_owned(),
+        host: "host".to_owned(),
+        prefix: "/search/".to_owned(),
+        version: 1,
+        shards: shards.iter().map(|name| ServiceName::new(*name)).collect(),
+        records: 2,
+        attempts: 2,
+        prior_attempts,
+        objective_us: 200_000,
+        report_in_us: 100_000,
+        second_after_us: 50_000,
+        ends_in_us: 900_000,
+    }
+}
+
+fn ask_slice(harness: &mut Harness, task: SliceTask) {
+    let request = SharedBytes::default();
+    harness.slice_message(peer(1), SliceMessage::Ask { task, request });
+}
+
+fn reports(harness: &Harness) -> Vec<SliceReport> {
+    let messages = harness.slice_messages.iter();
+    let reports = messages.filter_map(|(_, message)| match message {
+        SliceMessage::Report { report, .. } => Some(report.clone()),
+        _ => None,
+    });
+    reports.collect()
+}
+
+#[test]
+fn an_owner_reports_once_where_all_shards_answer() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, task(&["shard-1", "shard-2", "shard-3"], 0));
+    assert_eq!(harness.sent.len(), 3);
+    answer_all(&mut harness);
+    let reports = reports(&harness);
+    assert_eq!(reports.len(), 1);
+    assert!(reports[0].finished);
+    assert_eq!(reports[0].answered.len(), 3);
+    assert_eq!(harness.released.len(), 1);
+}
+
+#[test]
+fn an_owner_reports_when_its_second_attempts_begin() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, task(&["shard-1", "shard-2"], 0));
+    harness.reply(harness.sent[0].attempt, answer(b"0000000000000001"));
+    harness.wait(millis(49));
+    assert_eq!(harness.sent.len(), 2, "no second attempt yet");
+    assert!(reports(&harness).is_empty());
+    harness.wait(millis(30));
+    assert_eq!(harness.sent.len(), 3, "a second attempt");
+    let first = &reports(&harness)[0];
+    assert_eq!(first.answered.len(), 1);
+    assert!(!first.finished);
+}
+
+#[test]
+fn late_shards_are_reported_as_they_come() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, task(&["shard-1", "shard-2", "shard-3"], 0));
+    harness.wait(millis(150));
+    harness.reply(harness.sent[0].attempt, answer(b"0000000000000001"));
+    harness.reply(harness.sent[1].attempt, answer(b"0000000000000002"));
+    let reports = reports(&harness);
+    let answered: Vec<usize> = reports.iter().map(|report| report.answered.len()).collect();
+    assert_eq!(answered, [0, 1, 1]);
+}
+
+#[test]
+fn an_owner_that_is_asked_second_makes_one_attempt_less() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, task(&["shard-1"], 1));
+    assert_eq!(harness.sent.len(), 1);
+    harness.reply(harness.sent[0].attempt, verdict(ReplyVerdict::Spoilt));
+    harness.wait(millis(800));
+    assert_eq!(harness.sent.len(), 1);
+    let reports = reports(&harness);
+    assert_eq!(
+        reports.last().map(|report| report.failed.clone()),
+        Some(vec![(0, true)])
+    );
+}
+
+#[test]
+fn a_replaced_owner_makes_no_second_attempt_and_still_reports() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, task(&["shard-1"], 0));
+    let slice = SliceId(7);
+    let reason = SliceStop::Replaced;
+    harness.slice_message(peer(1), SliceMessage::Stop { slice, reason });
+    harness.wait(millis(300));
+    assert_eq!(harness.sent.len(), 1);
+    harness.reply(harness.sent[0].attempt, answer(b"0000000000000001"));
+    assert!(
+        reports(&harness)
+            .last()
+            .is_some_and(|report| report.finished)
+    );
+}
+
+#[test]
+fn servers_stop_soon_after_the_caller_of_a_slice_left() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, task(&["shard-1"], 0));
+    let slice = SliceId(7);
+    let reason = SliceStop::CallerGone;
+    harness.slice_message(peer(1), SliceMessage::Stop { slice, reason });
+    let connection = harness.sent[0].connection;
+    harness.wait(millis(400));
+    assert!(harness.closed.contains(&connection));
+    assert_eq!(harness.released.len(), 1);
+}
+
+#[test]
+fn an_owner_stops_when_its_coordinator_is_gone() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, task(&["shard-1"], 0));
+    let address = peer(1).address;
+    harness.event(GatewayEvent::PeerLinkDown { address });
+    let connection = harness.sent[0].connection;
+    harness.wait(millis(400));
+    assert!(harness.closed.contains(&connection));
+}
+
+#[test]
+fn a_slice_of_unknown_services_is_refused() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, task(&["unheard-of"], 0));
+    let reports = reports(&harness);
+    assert!(reports[0].refused && reports[0].finished);
+    assert!(harness.sent.is_empty());
+}
+
+#[test]
+fn the_same_slice_is_not_served_twice() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, task(&["shard-1"], 0));
+    ask_slice(&mut harness, task(&["shard-1"], 0));
+    assert_eq!(harness.sent.len(), 1);
+}
+
+#[test]
+fn a_slice_that_waited_for_a_paused_process_is_refused() {
+    let mut harness = node(SMALL_SHARE);
+    harness.event(GatewayEvent::Paused { by: millis(1_500) });
+    ask_slice(&mut harness, task(&["shard-1"], 0));
+    assert!(reports(&harness)[0].refused);
+    assert!(harness.sent.is_empty());
+    harness.wait(millis(200));
+    ask_slice(&mut harness, task(&["shard-1"], 0));
+    assert_eq!(harness.sent.len(), 1);
+}
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -15,10 +15,12 @@
     CallerLimits, GatherTarget, Repeatability, Route, RouteConfiguration, RouteTarget,
     RouteVersion, RoutedService,
 };
-use thornbridge_proto::peer::PeerEndpoint;
+use thornbridge_proto::peer::membership::{MemberRecord, MemberState, MembershipMessage};
+use thornbridge_proto::peer::slice::{SliceMessage, SliceTask};
 use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
+use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 use thornbridge_proto::{
-    AttemptId, BackEndId, NodeId, NodeName, RegionName, ServiceName, ZoneName,
+    AttemptId, BackEndId, Incarnation, NodeId, NodeName, RegionName, ServiceName, ZoneName,
 };
 
 /// The only record of a part.
@@ -41,6 +43,12 @@
     pub sent: Vec<SentAttempt>,
     pub answers: BTreeMap<CallerId, GatewayAnswer>,
     pub reads: Vec<(ViewKind, u64)>,
+    /// Tasks for owners of slices, and to whom they went.
+    pub tasks: Vec<(SocketAddr, SliceTask)>,
+    /// Messages about slices to peers.
+    pub slice_messages: Vec<(SocketAddr, SliceMessage)>,
+    /// Relayed requests that were released.
+    pub released: Vec<CallerId>,
     pub closed: Vec<ConnectionId>,
     /// Connections that were opened and not closed since.
     pub open: Vec<ConnectionId>,
@@ -51,6 +59,14 @@
     next_caller: u64,
 }
 
+/// One of the other nodes.
+pub fn peer(number: u8) -> PeerEndpoint {
+    PeerEndpoint {
+        node: NodeId(100 + u64::from(number)),
+        address: SocketAddr::from(([10, 0, 1, number], 1)),
+    }
+}
+
 pub fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
@@ -143,6 +159,9 @@
             sent: Vec::new(),
             answers: BTreeMap::new(),
             reads: Vec::new(),
+            tasks: Vec::new(),
+            slice_messages: Vec::new(),
+            released: Vec::new(),
             closed: Vec::new(),
             open: Vec::new(),
             refusals_left: 0,
@@ -210,10 +229,43 @@
                 self.reads.retain(|(other, _)| *other != kind);
                 self.reads.push((kind, read));
             }
+            GatewayAction::AskOwner { to, task, .. } => self.tasks.push((to, *task)),
+            GatewayAction::SendPeer {
+                to,
+                message: PeerMessage::Slice(message),
+            } => self.slice_messages.push((to, message)),
+            GatewayAction::Release { caller } => self.released.push(caller),
             _ => {}
         }
     }
 
+    /// Other members join this node; they never answer a probe.
+    pub fn joined_by(&mut self, peers: u8) {
+        for number in 1..=peers {
+            let endpoint = peer(number);
+            let member = MemberRecord {
+                endpoint,
+                operator_address: endpoint.address,
+                name: NodeName::new(format!("peer-{number}")),
+                zone: ZoneName::new("zone"),
+                region: RegionName::new("region"),
+                incarnation: Incarnation(0),
+                state: MemberState::Alive,
+            };
+            let message = PeerMessage::Membership(MembershipMessage::Join { member });
+            self.event(GatewayEvent::PeerMessage {
+                from: endpoint,
+                message,
+            });
+        }
+    }
+
+    /// A peer sends a message about a slice.
+    pub fn slice_message(&mut self, from: PeerEndpoint, message: SliceMessage) {
+        let message = PeerMessage::Slice(message);
+        self.event(GatewayEvent::PeerMessage { from, message });
+    }
+
     /// The servers reset this many of the next connections right after they opened.
     pub fn refuse_next(&mut self, connections: u32) {
         self.refusals_left = connections;
--- a/crates/thornbridge-core/src/gateway/viewing.rs
+++ b/crates/thornbridge-core/src/gateway/viewing.rs
@@ -13,6 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use thornbridge_config::routes::RouteConfiguration;
+use thornbridge_proto::peer::slice::SliceMessage;
 use thornbridge_proto::peer::view::{RegistryDelta, StoreRevision, ViewDigest, ViewMessage};
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 
@@ -212,6 +213,7 @@
                 }
             }
         }
+        self.division_stale = true;
         self.strand_leaving();
     }
 
@@ -241,9 +243,11 @@
         }
         let warm = services_of(&configuration, &mut self.servers);
         self.servers.configure(&configuration.services, warm);
-        self.servers.keep_warm(self.now, &mut self.actions);
         self.staging
             .stage(self.now, Arc::new(configuration), origin);
+        self.division_stale = true;
+        self.divide();
+        self.servers.keep_warm(self.now, &mut self.actions);
         true
     }
 
@@ -273,6 +277,8 @@
         } = staged;
         let replaced = self.routes.version;
         self.routes.apply(&configuration, &mut self.servers);
+        self.division_stale = true;
+        self.divide();
         let limits = configuration.limits;
         self.actions.push_back(GatewayAction::SetLimits { limits });
         let change = GatewayChange::ConfigurationInForce {
@@ -296,11 +302,30 @@
                 membership.peer_message(context, from, message);
             }),
             PeerMessage::View(message) => self.view_message(from.address, message),
+            PeerMessage::Slice(message) => self.slice_message(from.address, message),
             // The other protocols belong to nodes that serve queries and actions.
             PeerMessage::Configuration(_) | PeerMessage::Health(_) | PeerMessage::Action(_) => {}
         }
     }
 
+    fn slice_message(&mut self, peer: SocketAddr, message: SliceMessage) {
+        let (exchanges, mut scope) = self.exchanges();
+        match message {
+            SliceMessage::Ask { task, .. } if scope.stale => {
+                exchanges.refuse_slice(&mut scope, peer, task.slice);
+            }
+            SliceMessage::Ask { task, request } => {
+                exchanges.serve_slice(&mut scope, peer, task, request);
+            }
+            SliceMessage::Report { slice, report } => {
+                exchanges.slice_reported(&mut scope, peer, slice, report);
+            }
+            SliceMessage::Stop { slice, reason } => {
+                exchanges.slice_stopped(&mut scope, peer, slice, reason);
+            }
+        }
+    }
+
     pub(super) fn view_message(&mut self, peer: SocketAddr, message: ViewMessage) {
         match message {
             ViewMessage::Digest { digest, age_ms } => {
--- a/crates/thornbridge-core/tests/members/cluster.rs
+++ b/crates/thornbridge-core/tests/members/cluster.rs
@@ -373,7 +373,10 @@
                 parts.membership.peer_message(context, from, message);
             }
             PeerMessage::Health(message) => parts.health.peer_message(context, from, message),
-            PeerMessage::Configuration(_) | PeerMessage::Action(_) | PeerMessage::View(_) => {}
+            PeerMessage::Configuration(_)
+            | PeerMessage::Action(_)
+            | PeerMessage::View(_)
+            | PeerMessage::Slice(_) => {}
         });
     }
 
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -5,6 +5,7 @@
 use super::headers::{WireNames, number};
 use super::log_lines;
 use super::metrics::{GatewayMetrics, Standing};
+use super::relaying;
 use super::store::StoreClient;
 use crate::clock::{Clock, PauseDetector};
 use crate::input::{Input, InputReceiver};
@@ -23,6 +24,9 @@
     ExchangeFailure, Gateway, GatewayAction, GatewayEvent, GatewayParameters, RequestHead,
 };
 use thornbridge_core::{CallerId, ConnectionId, Event};
+use thornbridge_proto::byte_string::SharedBytes;
+use thornbridge_proto::peer::PeerMessage;
+use thornbridge_proto::peer::slice::{SliceMessage, SliceTask};
 use thornbridge_proto::{AttemptId, BackEndId};
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::AbortHandle;
@@ -63,7 +67,10 @@
     parts: Parts,
     body: Bytes,
     sent_length: bool,
-    reply: oneshot::Sender<DecidedAnswer>,
+    /// Whom the answer goes to; `None` where another node relayed the request.
+    reply: Option<oneshot::Sender<DecidedAnswer>>,
+    /// The request as it is relayed to other nodes, once it was.
+    relayed: Option<SharedBytes>,
 }
 
 #[derive(Debug)]
@@ -215,7 +222,8 @@
             parts: request.parts,
             body: request.body,
             sent_length: request.sent_length,
-            reply: request.reply,
+            reply: Some(request.reply),
+            relayed: None,
         };
         self.waiting.insert(caller, waiting);
         let head = request.head;
@@ -294,23 +302,24 @@
                 patience,
             } => self.send(connection, attempt, caller, &instance, patience),
             GatewayAction::Answer { caller, answer } => {
-                if let Some(waiting) = self.waiting.remove(&caller) {
+                let waiting = self.waiting.remove(&caller);
+                if let Some(reply) = waiting.and_then(|waiting| waiting.reply) {
                     // A caller that went away this very moment needs no answer.
-                    let _ = waiting.reply.send(DecidedAnswer::now(answer));
+                    let _ = reply.send(DecidedAnswer::now(answer));
                 }
             }
+            GatewayAction::AskOwner { to, caller, task } => self.ask_owner(to, caller, *task),
+            GatewayAction::Adopt { caller, relayed } => self.adopt(caller, &relayed),
+            GatewayAction::Release { caller } => {
+                self.waiting.remove(&caller);
+            }
             GatewayAction::Read {
                 kind,
                 read,
                 what,
                 timeout,
             } => self.store.start(kind, read, what, timeout),
-            GatewayAction::SendPeer { to, message } => {
-                if !self.peers.send(to, &message) {
-                    let down = GatewayEvent::PeerLinkDown { address: to };
-                    self.follow_up.push(down);
-                }
-            }
+            GatewayAction::SendPeer { to, message } => self.send_peer(to, &message),
             GatewayAction::SetReady { ready } => {
                 log::info!(ready; "readiness changed");
                 self.outlets.ready.send_replace(ready);
@@ -329,6 +338,47 @@
         }
     }
 
+    fn send_peer(&mut self, to: SocketAddr, message: &PeerMessage) {
+        if !self.peers.send(to, message) {
+            let down = GatewayEvent::PeerLinkDown { address: to };
+            self.follow_up.push(down);
+        }
+    }
+
+    fn ask_owner(&mut self, to: SocketAddr, caller: CallerId, task: SliceTask) {
+        let Some(waiting) = self.waiting.get_mut(&caller) else {
+            return;
+        };
+        let WaitingCaller {
+            parts,
+            body,
+            sent_length,
+            relayed,
+            ..
+        } = waiting;
+        let request = relayed.get_or_insert_with(|| relaying::encode(parts, body, *sent_length));
+        let request = request.clone();
+        let message = PeerMessage::Slice(SliceMessage::Ask { task, request });
+        self.send_peer(to, &message);
+    }
+
+    fn adopt(&mut self, caller: CallerId, relayed: &SharedBytes) {
+        match relaying::decode(relayed) {
+            Ok(request) => {
+                let waiting = WaitingCaller {
+                    parts: request.parts,
+                    body: request.body,
+                    sent_length: request.sent_length,
+                    reply: None,
+                    relayed: None,
+                };
+                self.waiting.insert(caller, waiting);
+            }
+            // Its attempts are not sent then, and its coordinator hears that they failed.
+            Err(error) => log::warn!(error:% = error; "relayed request refused"),
+        }
+    }
+
     fn open(&mut self, connection: ConnectionId, address: SocketAddr) {
         let (jobs, receiver) = mpsc::unbounded_channel();
         let context = ConnectionContext {
--- a/crates/thornbridge-node/src/gateway/log_lines.rs
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -2,7 +2,9 @@
 
 use std::fmt::Write;
 use std::time::Duration;
-use thornbridge_core::gateway::{AttemptNote, GatewayChange, RequestNote, SourceFailure};
+use thornbridge_core::gateway::{
+    AttemptNote, GatewayChange, RequestNote, SliceNote, SourceFailure,
+};
 
 /// Attempts that one line names at most.
 const ATTEMPTS_NAMED: usize = 8;
@@ -23,11 +25,31 @@
         denied = note.denied,
         caller_try = note.caller_try.as_str(),
         retry_after_ms = or_never(note.retry_after),
+        coordinator = coordinator(note).as_str(),
+        owners = owners(&note.slices).as_str(),
         notable = named(&note.notable).as_str();
         "request"
     );
 }
 
+/// The node whose caller's request it was, where this one answered a slice of it.
+fn coordinator(note: &RequestNote) -> String {
+    note.coordinator
+        .map_or_else(String::new, |address| address.to_string())
+}
+
+/// Owners that were asked for slices: when, and how each stood at the end.
+fn owners(slices: &[SliceNote]) -> String {
+    let mut text = String::new();
+    for slice in slices {
+        let asked_ms = millis(slice.asked_after);
+        let outcome = slice.outcome.as_str();
+        // Writing to a string cannot fail.
+        let _ = write!(text, "{}@{asked_ms}:{outcome};", slice.owner);
+    }
+    text
+}
+
 fn named(attempts: &[AttemptNote]) -> String {
     let mut text = String::new();
     for attempt in attempts.iter().take(ATTEMPTS_NAMED) {
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -33,6 +33,11 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SliceLabels {
+    outcome: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ChangeLabels {
     change: String,
@@ -58,6 +63,7 @@
     notable_attempts: Family<AttemptLabels, Counter>,
     denied: Counter,
     missing_parts: Counter,
+    slices: Family<SliceLabels, Counter>,
     changes: Family<ChangeLabels, Counter>,
     members: Gauge,
     instances: Gauge,
@@ -87,6 +93,7 @@
             notable_attempts: Family::default(),
             denied: Counter::default(),
             missing_parts: Counter::default(),
+            slices: Family::default(),
             changes: Family::default(),
             members: Gauge::default(),
             instances: Gauge::default(),
@@ -112,6 +119,8 @@
         registry.register("extra_denied", denied, self.denied.clone());
         let missing = "Parts that answers left out";
         registry.register("missing_parts", missing, self.missing_parts.clone());
+        let slices = "Owners asked for slices of gathers, by how they stood when the gather ended";
+        registry.register("slices", slices, self.slices.clone());
         let changes = "Changes of state, by kind";
         registry.register("changes", changes, self.changes.clone());
         let members = "Members that share the budgets";
@@ -140,7 +149,14 @@
         self.request_seconds.get_or_create(&route).observe(seconds);
         self.attempts.inc_by(note.attempts as u64);
         self.denied.inc_by(note.denied as u64);
-        self.missing_parts.inc_by((note.of - note.parts) as u64);
+        if note.coordinator.is_none() {
+            self.missing_parts.inc_by((note.of - note.parts) as u64);
+        }
+        for slice in &note.slices {
+            let outcome = slice.outcome.as_str().to_owned();
+            let labels = SliceLabels { outcome };
+            self.slices.get_or_create(&labels).inc();
+        }
         for attempt in &note.notable {
             self.attempt(attempt);
         }
--- a/crates/thornbridge-node/src/gateway/mod.rs
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod pages;
 mod process;
+mod relaying;
 mod server_reply;
 mod settings;
 mod store;
--- /dev/null
+++ b/crates/thornbridge-node/src/gateway/relaying.rs
@@ -0,0 +1,84 @@
+//! A caller's request on its way to another node of the cluster, and out of such a message.
+
+use bytes::Bytes;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::http::request::Parts;
+use hyper::{Method, Request, Uri};
+use snafu::{ResultExt, Snafu};
+use thornbridge_proto::byte_string::SharedBytes;
+use thornbridge_proto::frame::{self, FrameError};
+use thornbridge_proto::peer::slice::RelayedRequest;
+
+/// A relayed request that cannot be used.
+#[derive(Debug, Snafu)]
+pub(super) enum RelayError {
+    /// Not a relayed request.
+    #[snafu(display("the relayed request cannot be decoded: {source}"))]
+    Decode {
+        /// Cause.
+        source: FrameError,
+    },
+    /// Its head is not HTTP.
+    #[snafu(display("the relayed request's {part} is not HTTP"))]
+    Head {
+        /// Which part of the head.
+        part: &'static str,
+    },
+}
+
+/// A request that another node relayed.
+pub(super) struct Relayed {
+    pub(super) parts: Parts,
+    pub(super) body: Bytes,
+    pub(super) sent_length: bool,
+}
+
+/// Encodes a request for other nodes.
+pub(super) fn encode(parts: &Parts, body: &Bytes, sent_length: bool) -> SharedBytes {
+    let headers = parts.headers.iter().map(|(name, value)| {
+        let value = SharedBytes::from(value.as_bytes().to_vec());
+        (name.as_str().to_owned(), value)
+    });
+    let request = RelayedRequest {
+        method: parts.method.as_str().to_owned(),
+        target: parts.uri.to_string(),
+        headers: headers.collect(),
+        body: SharedBytes::from(body.to_vec()),
+        sent_length,
+    };
+    match frame::encode(&request) {
+        Ok(encoded) => SharedBytes::from(encoded),
+        // Its owner refuses it, and this node serves the slice.
+        Err(error) => {
+            log::warn!(error:% = error; "request cannot be relayed");
+            SharedBytes::default()
+        }
+    }
+}
+
+/// Decodes what another node encoded.
+pub(super) fn decode(relayed: &SharedBytes) -> Result<Relayed, RelayError> {
+    let request: RelayedRequest = frame::decode(relayed.as_slice()).context(DecodeSnafu)?;
+    let mut head = Request::new(());
+    *head.method_mut() = Method::from_bytes(request.method.as_bytes())
+        .map_err(|_| RelayError::Head { part: "method" })?;
+    *head.uri_mut() = request
+        .target
+        .parse::<Uri>()
+        .map_err(|_| RelayError::Head { part: "target" })?;
+    for (name, value) in &request.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).map_err(|_| RelayError::Head {
+            part: "header name",
+        })?;
+        let value = HeaderValue::from_bytes(value.as_slice()).map_err(|_| RelayError::Head {
+            part: "header value",
+        })?;
+        head.headers_mut().append(name, value);
+    }
+    let (parts, ()) = head.into_parts();
+    Ok(Relayed {
+        parts,
+        body: Bytes::copy_from_slice(request.body.as_slice()),
+        sent_length: request.sent_length,
+    })
+}
--- a/crates/thornbridge-proto/src/byte_string.rs
+++ b/crates/thornbridge-proto/src/byte_string.rs
@@ -16,6 +16,12 @@
     }
 }
 
+impl Default for SharedBytes {
+    fn default() -> Self {
+        Self::from(Vec::new())
+    }
+}
+
 impl From<Vec<u8>> for SharedBytes {
     fn from(bytes: Vec<u8>) -> Self {
         Self(bytes.into())
--- a/crates/thornbridge-proto/src/peer/mod.rs
+++ b/crates/thornbridge-proto/src/peer/mod.rs
@@ -4,6 +4,7 @@
 pub mod configuration;
 pub mod health;
 pub mod membership;
+pub mod slice;
 pub mod view;
 
 #[cfg(test)]
@@ -43,4 +44,7 @@
     /// Replicated views: route configuration and registry of instances.
     #[serde(rename = "v")]
     View(view::ViewMessage),
+    /// Slices of gathers.
+    #[serde(rename = "s")]
+    Slice(slice::SliceMessage),
 }
--- /dev/null
+++ b/crates/thornbridge-proto/src/peer/slice.rs
@@ -0,0 +1,120 @@
+//! Slices: parts of a gather that one node, its coordinator, lets other nodes answer.
+//!
+//! A coordinator sends each owner of a slice one [`SliceMessage::Ask`]; the owner asks the shards'
+//! servers, merges their records and answers with reports, each about shards that no earlier one
+//! named. A lost message costs its slice: nothing is sent again.
+
+use crate::ServiceName;
+use crate::byte_string::SharedBytes;
+use serde::{Deserialize, Serialize};
+
+/// Identity of a slice at its coordinator; never used twice by one run of a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SliceId(pub u64);
+
+/// What an owner is asked to do. Times count from when it takes the message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SliceTask {
+    /// Identity.
+    pub slice: SliceId,
+    /// Identity that the caller gave its request.
+    pub request_id: String,
+    /// Host of the route.
+    pub host: String,
+    /// Prefix of the route.
+    pub prefix: String,
+    /// Version of the configuration that named the shards.
+    pub version: u64,
+    /// Shards, by service.
+    pub shards: Vec<ServiceName>,
+    /// Records that are wanted, the greatest.
+    pub records: u32,
+    /// Most attempts for each shard, over all nodes.
+    pub attempts: u32,
+    /// Attempts that other nodes may have made for each shard.
+    pub prior_attempts: u32,
+    /// Time within which an answer is worth most, in microseconds.
+    pub objective_us: u64,
+    /// When what is in is reported, in microseconds.
+    pub report_in_us: u64,
+    /// Time before which no second attempt is made, in microseconds.
+    pub second_after_us: u64,
+    /// When the slice is over, in microseconds.
+    pub ends_in_us: u64,
+}
+
+/// What an owner has of a slice.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SliceReport {
+    /// Shards that answered, by their place in the task, with their server's signature.
+    pub answered: Vec<(u16, SharedBytes)>,
+    /// The greatest records of these, greatest first.
+    pub records: SharedBytes,
+    /// Shards that cannot answer any more, and whether a server may have run the request.
+    pub failed: Vec<(u16, bool)>,
+    /// Whether it is the last report.
+    pub finished: bool,
+    /// Whether the owner does not serve the slice at all: nothing of it ran or will.
+    pub refused: bool,
+    /// Time since the owner took the task, in microseconds.
+    pub elapsed_us: u64,
+}
+
+/// Why a coordinator wants no more of a slice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SliceStop {
+    /// The caller has its answer.
+    #[serde(rename = "a")]
+    Answered,
+    /// The caller went away: servers are to stop.
+    #[serde(rename = "g")]
+    CallerGone,
+    /// Another owner was asked, too: no further attempts, but reports are welcome.
+    #[serde(rename = "r")]
+    Replaced,
+}
+
+/// Messages about slices.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SliceMessage {
+    /// From a coordinator to an owner.
+    #[serde(rename = "a")]
+    Ask {
+        /// What to do.
+        task: SliceTask,
+        /// The caller's request, as [`RelayedRequest`] in `rmp-serde`.
+        request: SharedBytes,
+    },
+    /// From an owner to its coordinator.
+    #[serde(rename = "r")]
+    Report {
+        /// Slice.
+        slice: SliceId,
+        /// What there is.
+        report: SliceReport,
+    },
+    /// From a coordinator to an owner.
+    #[serde(rename = "s")]
+    Stop {
+        /// Slice.
+        slice: SliceId,
+        /// Why.
+        reason: SliceStop,
+    },
+}
+
+/// A caller's HTTP request, on its way to an owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayedRequest {
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Headers, without those that concern one connection only.
+    pub headers: Vec<(String, SharedBytes)>,
+    /// Body.
+    pub body: SharedBytes,
+    /// Whether the caller gave a length.
+    pub sent_length: bool,
+}
--- a/crates/thornbridge-rehearsal/src/gateway/scenario.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/scenario.rs
@@ -109,6 +109,21 @@
         }
     }
 
+    /// Eighteen nodes with a twentieth of a core each, over 40 shards: gathers are divided.
+    pub fn many_small_nodes(seed: u64) -> Self {
+        let mut scenario = Self::small_teams(seed);
+        scenario.nodes = vec![6, 6, 6];
+        scenario.shards = 40;
+        scenario.replicas = 3;
+        scenario.connections = 40;
+        scenario.loads[0].rate = 25.0;
+        scenario.length = Duration::from_secs(12);
+        scenario.budget.1 = 200.0;
+        scenario.parameters.budget.slack = 200.0;
+        scenario.parameters.fit_processor(0.05);
+        scenario
+    }
+
     /// The same with these faults.
     pub fn with_faults(mut self, faults: Vec<TimedFault>) -> Self {
         self.faults = faults;
--- a/crates/thornbridge-rehearsal/src/gateway/world.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world.rs
@@ -75,6 +75,8 @@
     pub(super) disturbed: Timestamp,
     pub(super) connections: BTreeMap<ConnectionId, usize>,
     pub(super) version_seen: u64,
+    /// Requests that other nodes relayed to it, by its handles.
+    pub(super) adopted: BTreeMap<CallerId, u64>,
     timer_at: Timestamp,
 }
 
@@ -204,6 +206,7 @@
             disturbed: Timestamp::ZERO,
             connections: BTreeMap::new(),
             version_seen: 0,
+            adopted: BTreeMap::new(),
             timer_at: Timestamp::MAX,
         });
         let delay = Duration::from_millis(20 * index as u64);
--- a/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
@@ -104,6 +104,9 @@
             GatewayFault::Freeze { node, lasts } => {
                 self.machines[node].frozen_until = self.now + lasts;
                 self.machines[node].disturbed = self.now + lasts;
+                let life = self.machines[node].life;
+                let paused = Box::new(GatewayEvent::Paused { by: lasts });
+                self.schedule(lasts, Occurrence::ToNode(node, life, paused));
             }
         }
     }
--- a/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
@@ -9,11 +9,14 @@
 use rand::Rng;
 use std::net::SocketAddr;
 use std::time::Duration;
-use thornbridge_core::ConnectionId;
 use thornbridge_core::gateway::{
     GatewayAction, GatewayAnswer, GatewayChange, GatewayEvent, RequestHead,
 };
+use thornbridge_core::{CallerId, ConnectionId};
 use thornbridge_proto::ServiceName;
+use thornbridge_proto::byte_string::SharedBytes;
+use thornbridge_proto::peer::PeerMessage;
+use thornbridge_proto::peer::slice::SliceMessage;
 
 /// Time until a connection to a silent machine is given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -35,8 +38,11 @@
                 instance,
                 patience,
             } => {
+                let Some(request) = self.request_of(node, caller) else {
+                    return;
+                };
                 if self.in_touch(node) {
-                    self.oracle.patience(self.now, caller.0, patience);
+                    self.oracle.patience(self.now, request, patience);
                 }
                 let Some(server) = self.machines[node].connections.get(&connection).copied() else {
                     return;
@@ -51,7 +57,7 @@
                     attempt,
                     server,
                     expected: instance.as_str().to_owned(),
-                    request: caller.0,
+                    request,
                 };
                 self.schedule(delay, Occurrence::AtServer(Box::new(sent)));
             }
@@ -68,6 +74,21 @@
                 self.schedule(STORE_TIME, call);
             }
             GatewayAction::SendPeer { to, message } => self.send_to_peer(node, to, message),
+            GatewayAction::AskOwner { to, caller, task } => {
+                let request = SharedBytes::from(caller.0.to_le_bytes().to_vec());
+                let task = *task;
+                let message = PeerMessage::Slice(SliceMessage::Ask { task, request });
+                self.send_to_peer(node, to, message);
+            }
+            GatewayAction::Adopt { caller, relayed } => {
+                let number = <[u8; 8]>::try_from(relayed.as_slice());
+                let number = number.expect("a request's number");
+                let adopted = &mut self.machines[node].adopted;
+                adopted.insert(caller, u64::from_le_bytes(number));
+            }
+            GatewayAction::Release { caller } => {
+                self.machines[node].adopted.remove(&caller);
+            }
             GatewayAction::SetReady { ready } => self.machines[node].ready = ready,
             GatewayAction::Changed(GatewayChange::ConfigurationInForce { version, .. }) => {
                 self.in_force(node, version.0);
@@ -78,6 +99,13 @@
         }
     }
 
+    /// The request that a handle of a node stands for: a caller's own, or one that was relayed.
+    fn request_of(&self, node: usize, caller: CallerId) -> Option<u64> {
+        let adopted = self.machines[node].adopted.get(&caller).copied();
+        let own = Some(caller.0).filter(|number| *number <= self.next_request);
+        adopted.or(own)
+    }
+
     fn in_force(&mut self, node: usize, version: u64) {
         let seen = self.machines[node].version_seen;
         if version <= seen {
--- /dev/null
+++ b/crates/thornbridge-rehearsal/tests/gateway/divided.rs
@@ -0,0 +1,46 @@
+//! Gathers that are divided among nodes, alone and under faults.
+
+use crate::mixed::{draw_faults, runs};
+use crate::support::sound_scenario;
+use std::time::Duration;
+use thornbridge_rehearsal::gateway::{GatewayFault, GatewayReport, GatewayScenario, TimedFault};
+
+const NODES: usize = 18;
+const SERVERS: usize = 125;
+
+fn sound_divided(seed: u64, faults: Vec<TimedFault>) -> GatewayReport {
+    sound_scenario(GatewayScenario::many_small_nodes(seed).with_faults(faults))
+}
+
+#[test]
+fn divided_gathers_are_answered_in_time_and_need_few_connections() {
+    let report = sound_divided(1, Vec::new());
+    let served = report.in_time + report.partial_in_time;
+    assert!(served * 100 >= report.asked * 95, "{report:?}");
+    // 18 nodes with a connection to each of 120 servers would open 2,160.
+    assert!(report.opened < 1_200, "{report:?}");
+}
+
+#[test]
+fn an_owner_that_is_killed_frozen_or_cut_off_breaks_no_rule() {
+    let lasts = Duration::from_secs(4);
+    for node in 0..4 {
+        let faults = [
+            GatewayFault::KillNode { node, lasts },
+            GatewayFault::Freeze { node, lasts },
+            GatewayFault::CutFromPeers { node, lasts },
+        ];
+        for (index, fault) in faults.into_iter().enumerate() {
+            let seed = (node * 3 + index) as u64;
+            let report = sound_divided(seed, vec![TimedFault::at(3.0, fault)]);
+            assert!(report.served() * 100 >= report.asked * 97, "{report:?}");
+        }
+    }
+}
+
+#[test]
+fn mixes_of_faults_break_no_rule_where_gathers_are_divided() {
+    for seed in 0..runs() / 2 {
+        sound_divided(seed, draw_faults(2_000 + seed, NODES, SERVERS));
+    }
+}
