--- a/crates/thornbridge-core/src/gateway/slices/assignment.rs
+++ b/crates/thornbridge-core/src/gateway/slices/assignment.rs
@@ -10,7 +10,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Gives the owners of each group, as positions in `members`.
-pub(super) fn owners_of_groups(members: &[SocketAddr], groups: &[u64]) -> Vec<Vec<usize>> {
+pub(in crate::gateway) fn owners_of_groups(
+    members: &[SocketAddr],
+    groups: &[u64],
+) -> Vec<Vec<usize>> {
     let mut owners = vec![Vec::new(); groups.len()];
     if groups.is_empty() {
         return owners;
--- a/crates/thornbridge-core/src/gateway/slices/mod.rs
+++ b/crates/thornbridge-core/src/gateway/slices/mod.rs
@@ -12,6 +12,8 @@
 mod assignment;
 mod plan;
 
+#[cfg(test)]
+pub(super) use assignment::owners_of_groups;
 pub(super) use plan::{Group, Ownership, Plan};
 
 use super::exchange::AnswerDelay;
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod awaiting;
 mod budgets;
 mod delays;
+mod divisions;
 mod freshness;
 mod hedges;
 mod registries;
--- a/crates/thornbridge-core/src/gateway/tests/slices.rs
+++ b/crates/thornbridge-core/src/gateway/tests/slices.rs
@@ -214,7 +214,7 @@
     report(&mut harness, owner, &task, none);
     let sent = harness.sent_for(caller);
     assert_eq!(sent.len(), 1);
-    harness.reply(sent[0].attempt, answer(b"0000000000000009"));
+    harness.reply(sent[0].attempt, answer(b"9999999999999999"));
     let whole = report_of(&task, 0..task.shards.len(), b'1');
     report(&mut harness, owner, &task, whole);
     assert_eq!(missing(&harness, caller), Some(0));
--- a/crates/thornbridge-node/src/gateway/relaying.rs
+++ b/crates/thornbridge-node/src/gateway/relaying.rs
@@ -1,5 +1,8 @@
 //! A caller's request on its way to another node of the cluster, and out of such a message.
 
+#[cfg(test)]
+mod tests;
+
 use bytes::Bytes;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::http::request::Parts;
