--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -170,8 +170,12 @@
             if let Some(caller) = gone {
                 self.caller_gone(caller);
             }
-            if let Some(Input::Core(event)) = peer {
-                self.take_peer(event);
+            // Peers are heard in each round: under load a slice that is to stop would go on.
+            let more = std::iter::from_fn(|| inlets.peers.inputs.try_recv().ok());
+            for input in peer.into_iter().chain(more).take(BATCH) {
+                if let Input::Core(event) = input {
+                    self.take_peer(event);
+                }
             }
         }
     }
