Divided gathers: a silent owner's slice is given to nobody else

Ruled out: a longer silence (an owner's lag has no bound); telling the owner to stop (the message lags as much).

Change: a silent owner is avoided by later gathers, its slice waits for it.

--- a/crates/thornbridge-core/src/gateway/exchange/delegating.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/delegating.rs
@@ -1,9 +1,9 @@
 //! A gather's coordinator: asks owners for its slices, and takes their reports.
 //!
-//! Guards against owners that are gone or silent. An owner reports before it makes a second attempt
-//! at any shard; one that has not reported some time after that moment is silent, and another owner
-//! gets the slice with one attempt less for each shard. So no shard's request reaches more servers
-//! than its route allows. The first owner to report is the one whose reports count.
+//! Guards against owners that are gone: another owner gets the slice, with one attempt less for each
+//! shard, while the first cannot have made a second attempt. So no shard's request reaches more
+//! servers than its route allows. A silent owner may be slow rather than gone: it is avoided by later
+//! gathers, and its slice waits for it.
 
 use super::leg::{Leg, LegState};
 use super::request::Request;
@@ -232,13 +232,10 @@
                 continue;
             }
             request.slices[index].silent_at = None;
-            // An earlier one was replaced by it.
+            // It may have the task and be slow: asking another owner as well could take a shard's
+            // request to more servers than its route allows. Later gathers avoid it.
             if let Some(silent) = request.slices[index].open().last().copied() {
                 scope.slices.owner_failed(scope.now, silent.owner);
-                stop(scope, &silent, SliceStop::Replaced);
-            }
-            if request.slices[index].asked.len() < OWNERS_ASKED {
-                self.ask_owner(scope, request, index);
             }
         }
     }
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -5,8 +5,8 @@
 use super::headers::{WireNames, number};
 use super::log_lines;
 use super::metrics::{GatewayMetrics, Standing};
-use super::relaying;
 use super::store::StoreClient;
+use super::waiting::WaitingCaller;
 use crate::clock::{Clock, PauseDetector};
 use crate::input::{Input, InputReceiver};
 use crate::peers::Peers;
@@ -62,17 +62,6 @@
     Reconfigure(Box<GatewayParameters>),
 }
 
-#[derive(Debug)]
-struct WaitingCaller {
-    parts: Parts,
-    body: Bytes,
-    sent_length: bool,
-    /// Whom the answer goes to; `None` where another node relayed the request.
-    reply: Option<oneshot::Sender<DecidedAnswer>>,
-    /// The request as it is relayed to other nodes, once it was.
-    relayed: Option<SharedBytes>,
-}
-
 #[derive(Debug)]
 struct ServerConnection {
     jobs: mpsc::UnboundedSender<Job>,
@@ -222,15 +211,16 @@
             return;
         }
         let caller = request.caller;
-        let waiting = WaitingCaller {
-            parts: request.parts,
-            body: request.body,
-            sent_length: request.sent_length,
-            reply: Some(request.reply),
-            relayed: None,
-        };
+        let CallerRequest {
+            head,
+            parts,
+            body,
+            sent_length,
+            reply,
+            ..
+        } = request;
+        let waiting = WaitingCaller::new(parts, body, sent_length, Some(reply));
         self.waiting.insert(caller, waiting);
-        let head = request.head;
         self.handle(GatewayEvent::Request { caller, head });
     }
 
@@ -353,29 +343,14 @@
         let Some(waiting) = self.waiting.get_mut(&caller) else {
             return;
         };
-        let WaitingCaller {
-            parts,
-            body,
-            sent_length,
-            relayed,
-            ..
-        } = waiting;
-        let request = relayed.get_or_insert_with(|| relaying::encode(parts, body, *sent_length));
-        let request = request.clone();
+        let request = waiting.relayed();
         let message = PeerMessage::Slice(SliceMessage::Ask { task, request });
         self.send_peer(to, &message);
     }
 
     fn adopt(&mut self, caller: CallerId, relayed: &SharedBytes) {
-        match relaying::decode(relayed) {
-            Ok(request) => {
-                let waiting = WaitingCaller {
-                    parts: request.parts,
-                    body: request.body,
-                    sent_length: request.sent_length,
-                    reply: None,
-                    relayed: None,
-                };
+        match WaitingCaller::adopted(relayed) {
+            Ok(waiting) => {
                 self.waiting.insert(caller, waiting);
             }
             // Its attempts are not sent then, and its coordinator hears that they failed.
--- a/crates/thornbridge-node/src/gateway/mod.rs
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod server_reply;
 mod settings;
 mod store;
+mod waiting;
 
 pub use headers::WireNames;
 pub use process::{GatewayError, GatewayListeners, RunningGateway, run_gateway};
