Request lines name what stays the same in all tries of a request

Cause: a request line named the identity of one try, so that one request that comes again could not be told from many, and the incident's hypotheses not from each other.

--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -9,6 +9,7 @@
 use thornbridge_config::routes::RouteConfiguration;
 use thornbridge_proto::AttemptId;
 use thornbridge_proto::BackEndId;
+use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::slice::SliceId;
 use thornbridge_proto::peer::view::{Instance, StoreRevision};
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
@@ -18,6 +19,8 @@
 pub struct RequestHead {
     /// Identity that the caller gave this request; passed on unchanged.
     pub id: Option<String>,
+    /// What stays the same when the caller sends the request again.
+    pub fingerprint: Fingerprint,
     /// Host, in lower case and without a port.
     pub host: String,
     /// Path without the query.
--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -163,6 +163,7 @@
         self.add_open_attempts(scope, request, &mut notable);
         let note = RequestNote {
             id: request.id.clone(),
+            fingerprint: request.fingerprint,
             route: request.route.route.name.clone(),
             version: request.route.version,
             registry: scope.registry,
--- a/crates/thornbridge-core/src/gateway/exchange/delegating.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/delegating.rs
@@ -244,6 +244,7 @@
     Some(SliceTask {
         slice: scope.slices.next_id(),
         request_id: request.id.clone(),
+        fingerprint: request.fingerprint,
         host: route.host.clone(),
         prefix: route.prefix.clone(),
         version: request.route.version.0,
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -137,11 +137,10 @@
         route: Arc<ResolvedRoute>,
         arrived: Timestamp,
     ) {
-        let id = head.id.clone().unwrap_or_default();
         let retry_after = self.parameters.retry_after;
         if self.requests.len() >= self.parameters.requests_maximum {
             let reason = RefusalReason::Overloaded;
-            self.refuse_unstarted(scope, caller, &id, &route, reason, retry_after);
+            self.refuse_unstarted(scope, caller, &head, &route, reason, retry_after);
             return;
         }
         let times = self.times(scope, &head, &route, arrived);
@@ -151,7 +150,7 @@
         {
             let share = self.parameters.retry_after_share;
             let retry_after = times.patience.mul_f64(share).max(retry_after);
-            self.refuse_unstarted(scope, caller, &id, &route, reason, retry_after);
+            self.refuse_unstarted(scope, caller, &head, &route, reason, retry_after);
             return;
         }
         // Owners could not tell how long a request waited for this process to go on.
@@ -163,7 +162,8 @@
         let legs = services.into_iter().map(Leg::new).collect();
         let mut request = Request {
             caller,
-            id,
+            id: head.id.unwrap_or_default(),
+            fingerprint: head.fingerprint,
             arrived,
             caller_try: times.caller_try,
             answer_by: times.answer_by,
@@ -276,13 +276,14 @@
         &mut self,
         scope: &mut Scope<'_>,
         caller: CallerId,
-        id: &str,
+        head: &RequestHead,
         route: &ResolvedRoute,
         reason: RefusalReason,
         retry_after: Duration,
     ) {
         let note = RequestNote::unstarted(
-            id.to_owned(),
+            head.id.clone().unwrap_or_default(),
+            head.fingerprint,
             route.route.name.clone(),
             route.version,
             scope.registry,
--- a/crates/thornbridge-core/src/gateway/exchange/owning.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/owning.rs
@@ -121,6 +121,7 @@
         let request = Request {
             caller,
             id: task.request_id.clone(),
+            fingerprint: task.fingerprint,
             arrived: now,
             caller_try: CallerTry::Unknown,
             answer_by: after(task.report_in_us),
--- a/crates/thornbridge-core/src/gateway/exchange/request.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -11,6 +11,7 @@
 use crate::time::Timestamp;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use thornbridge_proto::fingerprint::Fingerprint;
 
 /// Who gets the answer of a request.
 #[derive(Clone, Debug)]
@@ -26,6 +27,7 @@
 pub(super) struct Request {
     pub(super) caller: CallerId,
     pub(super) id: String,
+    pub(super) fingerprint: Fingerprint,
     pub(super) route: Arc<ResolvedRoute>,
     pub(super) arrived: Timestamp,
     /// Which try of its caller it is.
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -325,6 +325,7 @@
         } = refusal;
         let mut note = RequestNote::unstarted(
             head.id.clone().unwrap_or_default(),
+            head.fingerprint,
             String::new(),
             self.routes.version,
             self.registry.upto().unwrap_or_default(),
--- a/crates/thornbridge-core/src/gateway/notes.rs
+++ b/crates/thornbridge-core/src/gateway/notes.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use thornbridge_config::routes::RouteVersion;
 use thornbridge_proto::BackEndId;
+use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::view::StoreRevision;
 
 /// One attempt of one server, as a log line tells it.
@@ -130,6 +131,8 @@
 pub struct RequestNote {
     /// Identity that the caller gave.
     pub id: String,
+    /// What is the same in all tries of a request.
+    pub fingerprint: Fingerprint,
     /// Route; empty where none was found.
     pub route: String,
     /// Version of the configuration that decided.
@@ -166,6 +169,7 @@
     /// The note of a request that was refused before anything was done for it.
     pub(super) fn unstarted(
         id: String,
+        fingerprint: Fingerprint,
         route: String,
         version: RouteVersion,
         registry: StoreRevision,
@@ -173,6 +177,7 @@
     ) -> Self {
         Self {
             id,
+            fingerprint,
             route,
             version,
             registry,
--- a/crates/thornbridge-core/src/gateway/tests/slice_support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/slice_support.rs
@@ -7,6 +7,7 @@
 use thornbridge_config::routes::Repeatability;
 use thornbridge_proto::ServiceName;
 use thornbridge_proto::byte_string::SharedBytes;
+use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::PeerEndpoint;
 use thornbridge_proto::peer::slice::{SliceId, SliceMessage, SliceReport, SliceStop, SliceTask};
 
@@ -104,6 +105,7 @@
     SliceTask {
         slice: SliceId(7),
         request_id: "request".to_owned(),
+        fingerprint: Fingerprint::default(),
         host: "host".to_owned(),
         prefix: "/search/".to_owned(),
         version: 1,
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -15,6 +15,7 @@
     CallerLimits, GatherTarget, Repeatability, Route, RouteConfiguration, RouteTarget,
     RouteVersion, RoutedService,
 };
+use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::membership::{MemberRecord, MemberState, MembershipMessage};
 use thornbridge_proto::peer::slice::{SliceMessage, SliceTask};
 use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
@@ -350,6 +351,7 @@
         let caller = CallerId(self.next_caller);
         let head = RequestHead {
             id: Some(format!("request-{}", self.next_caller)),
+            fingerprint: Fingerprint(u128::from(self.next_caller)),
             host: "host".to_owned(),
             path: path.to_owned(),
             patience: Some(patience),
--- a/crates/thornbridge-node/src/gateway/log_lines.rs
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -13,6 +13,7 @@
 pub(super) fn finished(note: &RequestNote) {
     log::info!(
         id = note.id.as_str(),
+        fingerprint:% = note.fingerprint,
         route = note.route.as_str(),
         outcome = note.outcome,
         version = note.version.0,
--- a/crates/thornbridge-proto/src/lib.rs
+++ b/crates/thornbridge-proto/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod back_end;
 pub mod byte_string;
 pub mod caller;
+pub mod fingerprint;
 pub mod frame;
 pub mod identifiers;
 pub mod json;
--- a/crates/thornbridge-proto/src/peer/slice.rs
+++ b/crates/thornbridge-proto/src/peer/slice.rs
@@ -7,6 +7,7 @@
 
 use crate::ServiceName;
 use crate::byte_string::SharedBytes;
+use crate::fingerprint::Fingerprint;
 use serde::{Deserialize, Serialize};
 
 /// Identity of a slice at its coordinator; never used twice by one run of a node.
@@ -21,6 +22,8 @@
     pub slice: SliceId,
     /// Identity that the caller gave its request.
     pub request_id: String,
+    /// What is the same in all tries of the request.
+    pub fingerprint: Fingerprint,
     /// Host of the route.
     pub host: String,
     /// Prefix of the route.
--- a/crates/thornbridge-rehearsal/src/gateway/callers.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/callers.rs
@@ -8,6 +8,8 @@
 /// One try of a caller.
 #[derive(Clone, Debug)]
 pub(super) struct Try {
+    /// Number of the request: the same in all of its tries.
+    pub(super) content: u64,
     /// Position of the load.
     pub(super) load: usize,
     /// Zone of the caller.
--- a/crates/thornbridge-rehearsal/src/gateway/world.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world.rs
@@ -358,6 +358,7 @@
         let second = self.second_of(self.now);
         self.by_second(second).0 += 1;
         self.ask(Try {
+            content: self.report.asked,
             load,
             zone,
             first_asked: self.now,
--- a/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
@@ -15,6 +15,7 @@
 use thornbridge_core::{CallerId, ConnectionId};
 use thornbridge_proto::ServiceName;
 use thornbridge_proto::byte_string::SharedBytes;
+use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::PeerMessage;
 use thornbridge_proto::peer::slice::SliceMessage;
 
@@ -203,6 +204,7 @@
         self.count_request(gather);
         let head = RequestHead {
             id: Some(request.to_string()),
+            fingerprint: Fingerprint(u128::from(asking.content)),
             host: HOST.to_owned(),
             path: format!("{}{request}", load.prefix),
             patience: Some(patience),
