--- a/crates/thornbridge-rehearsal/src/gateway/fault.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/fault.rs
@@ -104,6 +104,18 @@
     },
     /// All connections between nodes and servers go silent for good, without a reset; new ones work.
     ServerConnectionsSilent,
+    /// A caller sends a request that crashes each server that begins to run it. It comes again, the same
+    /// each time, at any node; a server is back after a while.
+    CrashingRequest {
+        /// Position of the load that it is one of.
+        load: usize,
+        /// Time between two times that it comes.
+        every: Duration,
+        /// How long it comes for.
+        lasts: Duration,
+        /// Time that a server is away.
+        away: Duration,
+    },
     /// A node's process stands still.
     Freeze {
         /// The node.
--- a/crates/thornbridge-rehearsal/src/gateway/oracle.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/oracle.rs
@@ -10,6 +10,12 @@
 use thornbridge_core::gateway::{GatewayAnswer, RefusalPromise};
 use thornbridge_proto::ServiceName;
 
+/// Time without disruption after which a node counts as in touch.
+pub(super) const CONTACT: Duration = Duration::from_secs(4);
+/// Crashes after which a request counts as one that crashes servers.
+const CRASHES: usize = 3;
+/// Tries of such a request that may reach servers later than that.
+const TRIES_AFTER: usize = 3;
 /// Window of the budget of extra attempts.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 /// Time beyond its limit that a request may go without an answer.
@@ -46,6 +52,8 @@
     TimeLimit,
     /// Servers are given no more time than is left.
     Patience,
+    /// A request under which servers crashed is sent to servers a few times more, at most.
+    CrashingRequest,
     /// After the last fault, callers are served again.
     Recovery,
 }
@@ -77,6 +85,8 @@
     pub(super) limit: Duration,
     pub(super) attempts: u32,
     pub(super) refused_not_run: bool,
+    /// Number of the request: the same in all of its tries.
+    pub(super) content: u64,
 }
 
 /// Everything seen.
@@ -89,6 +99,10 @@
     /// Shard sets of the versions, by version.
     pub(super) versions: BTreeMap<u64, BTreeSet<ServiceName>>,
     pub(super) broken: Vec<Broken>,
+    /// When servers crashed under a request.
+    crashes: BTreeMap<u64, Vec<Timestamp>>,
+    /// Tries of such a request that reached servers though that had to be known.
+    sent_though_crashing: BTreeMap<u64, BTreeSet<u64>>,
 }
 
 /// A signature as the model's servers write it.
@@ -214,10 +228,46 @@
         }
     }
 
+    /// Number of the request that this was a try of.
+    pub(super) fn content_of(&self, request: u64) -> u64 {
+        self.asked.get(&request).map_or(0, |asked| asked.content)
+    }
+
+    pub(super) fn crashed_under(&mut self, now: Timestamp, content: u64) {
+        self.crashes.entry(content).or_default().push(now);
+    }
+
+    /// When a request had crashed enough servers to be told by that.
+    pub(super) fn third_crash(&self, content: u64) -> Option<Timestamp> {
+        self.crashes.get(&content)?.get(CRASHES - 1).copied()
+    }
+
+    pub(super) fn sent_though_crashing(&mut self, content: u64, request: u64) {
+        let tries = self.sent_though_crashing.entry(content).or_default();
+        tries.insert(request);
+    }
+
+    /// Servers that crashed under requests.
+    pub(super) fn crashes(&self) -> u64 {
+        self.crashes.values().map(|times| times.len() as u64).sum()
+    }
+
     /// Checks what only the whole run shows.
     pub(super) fn finish(&mut self, budget: (f64, f64)) {
         self.check_runs();
         self.check_budget(budget);
+        self.check_crashing();
+    }
+
+    fn check_crashing(&mut self) {
+        let tries = std::mem::take(&mut self.sent_though_crashing);
+        for (content, tries) in tries {
+            if tries.len() > TRIES_AFTER {
+                let crashes = self.crashes.get(&content).map_or(0, Vec::len);
+                let detail = format!("{} tries after {crashes} crashes", tries.len());
+                self.breaks(Rule::CrashingRequest, detail);
+            }
+        }
     }
 
     fn check_runs(&mut self) {
--- a/crates/thornbridge-rehearsal/src/gateway/oracle/tests.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/oracle/tests.rs
@@ -27,6 +27,7 @@
         limit: Duration::from_secs(1),
         attempts: 2,
         refused_not_run: false,
+        content: 0,
     };
     oracle.asked.insert(REQUEST, asked);
     let shards = BTreeSet::from([service("a"), service("b")]);
--- a/crates/thornbridge-rehearsal/src/gateway/report.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/report.rs
@@ -17,6 +17,10 @@
     pub refused: u64,
     /// Requests whose last try failed, or was never answered.
     pub failed: u64,
+    /// Servers that crashed under requests that crash servers.
+    pub crashed: u64,
+    /// Other requests that were refused for crashing servers.
+    pub wrongly_refused: u64,
     /// Arrivals at servers.
     pub arrivals: u64,
     /// Arrivals beyond the first of each part.
--- a/crates/thornbridge-rehearsal/src/gateway/world.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world.rs
@@ -1,5 +1,6 @@
 //! The run of a scenario: occurrences in order of time, handed to nodes and models.
 
+mod crashing;
 mod faults;
 mod handling;
 mod machines;
@@ -110,6 +111,8 @@
     /// Watches that wait: node, run, view, read, revision.
     pub(super) watches: Vec<(usize, u32, ViewKind, u64, u64)>,
     pub(super) oracle: Oracle,
+    /// Requests that crash servers, and how long a server is away.
+    pub(super) crashing: BTreeMap<u64, Duration>,
     pub(super) report: GatewayReport,
     pub(super) answers_lost_share: f64,
     pub(super) spoilt_share: f64,
@@ -144,6 +147,7 @@
             next_request: 0,
             watches: Vec::new(),
             oracle: Oracle::default(),
+            crashing: BTreeMap::new(),
             report: GatewayReport::default(),
             answers_lost_share: 0.0,
             spoilt_share: 0.0,
@@ -302,6 +306,7 @@
             }
         }
         self.oracle.finish(self.scenario.budget);
+        self.report.crashed = self.oracle.crashes();
         self.report.extra = self.oracle.extra_arrivals();
         self.report.arrivals = self.oracle.arrivals.len() as u64;
         self.report.broken = std::mem::take(&mut self.oracle.broken);
--- /dev/null
+++ b/crates/thornbridge-rehearsal/src/gateway/world/crashing.rs
@@ -0,0 +1,94 @@
+//! Requests that crash the servers that run them.
+
+use super::faults::FaultStep;
+use super::{Sent, World};
+use crate::gateway::callers::Try;
+use crate::gateway::oracle::CONTACT;
+use rand::Rng;
+use std::time::Duration;
+use thornbridge_core::Timestamp;
+
+/// A request that crashes servers, and when it comes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Crashing {
+    content: u64,
+    load: usize,
+    every: Duration,
+    until: Timestamp,
+}
+
+impl World {
+    pub(super) fn crashing_request_comes(
+        &mut self,
+        load: usize,
+        every: Duration,
+        lasts: Duration,
+        away: Duration,
+    ) {
+        // Ordinary requests are numbered from below.
+        let content = u64::MAX - self.crashing.len() as u64;
+        self.crashing.insert(content, away);
+        self.ask_crashing(Crashing {
+            content,
+            load,
+            every,
+            until: self.now + lasts,
+        });
+    }
+
+    pub(super) fn ask_crashing(&mut self, crashing: Crashing) {
+        let zone = self.random.random_range(0..self.scenario.nodes.len());
+        self.ask(Try {
+            content: crashing.content,
+            load: crashing.load,
+            zone,
+            first_asked: self.now,
+            tries_left: 1,
+            node: (0, 0),
+            until: self.now + self.scenario.loads[crashing.load].patience,
+        });
+        if self.now + crashing.every < crashing.until {
+            self.later(crashing.every, FaultStep::AskCrashing(crashing));
+        }
+    }
+
+    /// Whether a request of this number is one that others are counted with.
+    pub(super) fn is_ordinary(&self, content: u64) -> bool {
+        !self.crashing.contains_key(&content)
+    }
+
+    /// A server runs a request of this number until then, if that lets it.
+    pub(super) fn runs_until(&mut self, sent: &Sent, end: Timestamp) {
+        let content = self.oracle.content_of(sent.request);
+        if !self.is_ordinary(content) {
+            let (server, request) = (sent.server, sent.request);
+            let after = end.since(self.now);
+            self.later(after, FaultStep::CrashUnder { server, request });
+        }
+    }
+
+    pub(super) fn crash_under(&mut self, server: usize, request: u64) {
+        use crate::gateway::server::Condition;
+        let content = self.oracle.content_of(request);
+        let Some(away) = self.crashing.get(&content).copied() else {
+            return;
+        };
+        if self.servers[server].condition != Condition::Up {
+            return;
+        }
+        self.oracle.crashed_under(self.now, content);
+        self.crash(server, away, false);
+    }
+
+    /// A request that three servers ended under is no longer sent to servers, once nodes in touch had
+    /// the time to hear of it.
+    pub(super) fn check_crashing(&mut self, sent: &Sent) {
+        let content = self.oracle.content_of(sent.request);
+        let Some(third) = self.oracle.third_crash(content) else {
+            return;
+        };
+        if self.now.since(third) > CONTACT && self.in_touch(sent.node) {
+            self.oracle.sent_though_crashing(content, sent.request);
+        }
+    }
+}
--- a/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
@@ -1,5 +1,6 @@
 //! Faults at work.
 
+use super::crashing::Crashing;
 use super::{Occurrence, World};
 use crate::gateway::fault::GatewayFault;
 use crate::gateway::network::PeerLag;
@@ -29,6 +30,8 @@
     AnswersSound,
     StartAgain(usize),
     RemoveEntry(usize),
+    AskCrashing(Crashing),
+    CrashUnder { server: usize, request: u64 },
 }
 
 impl World {
@@ -111,6 +114,12 @@
                 }
             }
             GatewayFault::ServerConnectionsSilent => self.silence_server_connections(),
+            GatewayFault::CrashingRequest {
+                load,
+                every,
+                lasts,
+                away,
+            } => self.crashing_request_comes(load, every, lasts, away),
             GatewayFault::Freeze { node, lasts } => {
                 self.machines[node].frozen_until = self.now + lasts;
                 let machine = &mut self.machines[node];
@@ -122,7 +131,7 @@
         }
     }
 
-    fn later(&mut self, after: Duration, step: FaultStep) {
+    pub(super) fn later(&mut self, after: Duration, step: FaultStep) {
         self.last_fault = self.last_fault.max(self.now + after);
         self.schedule(after, Occurrence::FaultStep(step));
     }
@@ -162,6 +171,8 @@
             }
             FaultStep::AnswersArrive => self.answers_lost_share = 0.0,
             FaultStep::AnswersSound => self.spoilt_share = 0.0,
+            FaultStep::AskCrashing(crashing) => self.ask_crashing(crashing),
+            FaultStep::CrashUnder { server, request } => self.crash_under(server, request),
             FaultStep::StartAgain(node) => self.start_node(node),
             FaultStep::RemoveEntry(server) => {
                 let id = self.servers[server].id.clone();
@@ -237,7 +248,7 @@
         }
     }
 
-    fn crash(&mut self, server: usize, lasts: Duration, dark: bool) {
+    pub(super) fn crash(&mut self, server: usize, lasts: Duration, dark: bool) {
         self.servers[server].condition = match dark {
             true => Condition::Dark,
             false => Condition::Down,
--- a/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
@@ -199,6 +199,7 @@
             limit: limit.min(patience),
             attempts: 2,
             refused_not_run: false,
+            content: asking.content,
         };
         self.oracle.asked.insert(request, asked);
         self.count_request(gather);
@@ -257,7 +258,7 @@
     fn without_node(&mut self, mut asking: Try) {
         let again = self.now + Duration::from_millis(300);
         if asking.tries_left == 0 || again >= asking.until {
-            self.report.failed += 1;
+            self.report.failed += u64::from(self.is_ordinary(asking.content));
             return;
         }
         asking.tries_left -= 1;
@@ -283,6 +284,9 @@
         let Some(served) = self.tries.remove(&request) else {
             return;
         };
+        if !self.is_ordinary(served.content) {
+            return;
+        }
         let took = self.now.since(served.first_asked);
         let gather = self.scenario.loads[served.load].prefix == GATHER_PREFIX;
         let objective = match gather {
@@ -311,9 +315,10 @@
             .get(&request)
             .is_some_and(|asked| asked.repeatable);
         if !may || !(repeatable || refused) {
+            let ordinary = u64::from(self.is_ordinary(asking.content));
             match refused {
-                true => self.report.refused += 1,
-                false => self.report.failed += 1,
+                true => self.report.refused += ordinary,
+                false => self.report.failed += ordinary,
             }
             return;
         }
@@ -325,7 +330,7 @@
         let Some(left) = self.tries.remove(&request) else {
             return;
         };
-        self.report.failed += 1;
+        self.report.failed += u64::from(self.is_ordinary(left.content));
         let (node, life) = left.node;
         let gone = GatewayEvent::CallerGone {
             caller: Self::caller_id(request),
--- a/crates/thornbridge-rehearsal/src/gateway/world/machines.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/machines.rs
@@ -3,6 +3,7 @@
 use super::processor::is_read;
 use super::{Machine, Occurrence, World, zone_name};
 use crate::gateway::network::{PeerLag, way};
+use crate::gateway::oracle::CONTACT;
 use rand::Rng;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -166,9 +167,8 @@
 
     /// Whether a node has been undisturbed, and able to learn from store or peers, for a while.
     pub(super) fn in_touch(&self, node: usize) -> bool {
-        let contact = Duration::from_secs(4);
         let machine = &self.machines[node];
-        let calm = |since: Timestamp| self.now.since(since) > contact;
+        let calm = |since: Timestamp| self.now.since(since) > CONTACT;
         calm(machine.disturbed) && calm(machine.started) && calm(self.store_disturbed)
     }
 }
--- a/crates/thornbridge-rehearsal/src/gateway/world/serving.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/serving.rs
@@ -38,6 +38,7 @@
             return;
         }
         self.check_drain(sent);
+        self.check_crashing(sent);
         self.check_version(sent);
         self.run_at_server(sent);
     }
@@ -65,6 +66,7 @@
             self.reply(sent, reply, self.now);
             return;
         };
+        self.runs_until(sent, end);
         if self.random.random_bool(self.answers_lost_share) {
             self.fail(sent, ExchangeFailure::MayHaveRun, end);
             return;
