Fingerprints leave out the address that a request comes from

The record names nodes of all three zones for one request, and callers of another zone have other addresses: each address was learnt anew. Change: credentials, method, host, target and body make a fingerprint.

--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -8,7 +8,9 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER};
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER,
+};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
@@ -16,7 +18,6 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -63,14 +64,14 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, peer)) => {
+            Ok((stream, _)) => {
                 if callers.connections.load(Ordering::Relaxed) >= callers.connections_maximum {
                     continue;
                 }
                 callers.connections.fetch_add(1, Ordering::Relaxed);
                 let callers = Arc::clone(&callers);
                 tokio::spawn(async move {
-                    serve(&callers, stream, peer.ip()).await;
+                    serve(&callers, stream).await;
                     callers.connections.fetch_sub(1, Ordering::Relaxed);
                 });
             }
@@ -82,7 +83,7 @@
     }
 }
 
-async fn serve(callers: &Arc<Callers>, stream: TcpStream, address: IpAddr) {
+async fn serve(callers: &Arc<Callers>, stream: TcpStream) {
     sockets::prepare(&stream, UNACKNOWLEDGED);
     let activity = Activity::new();
     let stream = ObservedStream::new(stream, Arc::clone(&activity));
@@ -90,7 +91,7 @@
     let service = service_fn(|request| {
         let callers = Arc::clone(callers);
         let activity = Arc::clone(&activity);
-        async move { Ok::<_, Infallible>(answer(&callers, &activity, request, address).await) }
+        async move { Ok::<_, Infallible>(answer(&callers, &activity, request).await) }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -120,13 +121,9 @@
     callers: &Callers,
     activity: &Activity,
     request: Request<Incoming>,
-    address: IpAddr,
 ) -> Response<Full<Bytes>> {
-    let origin = RequestOrigin {
-        address,
-        first_on_connection: activity.request_began(),
-    };
-    let mut response = match take(callers, request, origin).await {
+    let first_on_connection = activity.request_began();
+    let mut response = match take(callers, request, first_on_connection).await {
         Ok(answer) => respond(&callers.names, answer),
         Err(problem) => problem.response(),
     };
@@ -138,15 +135,6 @@
     response
 }
 
-/// Where a request comes from.
-#[derive(Clone, Copy, Debug)]
-struct RequestOrigin {
-    /// Address of the caller.
-    address: IpAddr,
-    /// Whether it is the first request of its connection.
-    first_on_connection: bool,
-}
-
 /// A request that is refused before the core sees it.
 #[derive(Clone, Copy, Debug)]
 enum Malformed {
@@ -174,7 +162,7 @@
 async fn take(
     callers: &Callers,
     request: Request<Incoming>,
-    origin: RequestOrigin,
+    first_on_connection: bool,
 ) -> Result<GatewayAnswer, Malformed> {
     let (mut parts, body) = request.into_parts();
     // hyper takes a length that stands beside a transfer encoding off, and closes the connection
@@ -182,7 +170,7 @@
     let has_length = parts.headers.contains_key(CONTENT_LENGTH);
     let limit = callers.limits.borrow().body_bytes;
     let body = read_body(body, limit).await?;
-    let head = head_of(&callers.names, &parts, &body, origin);
+    let head = head_of(&callers.names, &parts, &body, first_on_connection);
     strip(&mut parts.headers);
     let (reply, answer) = oneshot::channel();
     let caller = CallerId(callers.next_caller.fetch_add(1, Ordering::Relaxed));
@@ -243,7 +231,12 @@
     }
 }
 
-fn head_of(names: &WireNames, parts: &Parts, body: &[u8], origin: RequestOrigin) -> RequestHead {
+fn head_of(
+    names: &WireNames,
+    parts: &Parts,
+    body: &[u8],
+    first_on_connection: bool,
+) -> RequestHead {
     let text = |name| {
         parts
             .headers
@@ -254,8 +247,9 @@
     let patience = patience.filter(|patience| patience.is_finite() && *patience >= 0.0);
     let host = host_of(text(&HOST).unwrap_or_default());
     let target = parts.uri.path_and_query();
+    let credentials = parts.headers.get(AUTHORIZATION);
     let fingerprint = Fingerprint::of(&FingerprintSource {
-        caller: origin.address,
+        credentials: credentials.map_or(&[], HeaderValue::as_bytes),
         method: parts.method.as_str(),
         host: &host,
         target: target.map_or("/", PathAndQuery::as_str),
@@ -267,7 +261,7 @@
         host,
         path: parts.uri.path().to_owned(),
         patience: patience.map(|millis| Duration::from_secs_f64(millis / 1_000.0)),
-        first_on_connection: origin.first_on_connection,
+        first_on_connection,
     }
 }
 
--- a/crates/thornbridge-proto/src/fingerprint.rs
+++ b/crates/thornbridge-proto/src/fingerprint.rs
@@ -1,13 +1,15 @@
 //! Fingerprints: what stays the same when a caller sends a request again.
 //!
 //! The identity that a caller gives a request is new with each of its tries. A fingerprint is a
-//! digest of what a server is sent, and of whom it comes from; nobody can make another request that
-//! has the same one.
+//! digest of what a server is sent, and on whose behalf; nobody can make another request that has the
+//! same one.
+//!
+//! The address that a request comes from is no part of it: a caller may come back by way of another
+//! machine or zone, where it has another address.
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 use std::fmt;
-use std::net::IpAddr;
 
 /// Hexadecimal digits by which a log names a fingerprint: one in 10^14 is met twice by chance.
 const DIGITS_SHOWN: usize = 12;
@@ -15,8 +17,8 @@
 /// What a fingerprint is taken of.
 #[derive(Clone, Copy, Debug)]
 pub struct FingerprintSource<'a> {
-    /// Address of the caller, without the port: that changes with each connection.
-    pub caller: IpAddr,
+    /// Credentials that the request carries; empty where there are none.
+    pub credentials: &'a [u8],
     /// Method.
     pub method: &'a str,
     /// Host, in lower case and without a port.
@@ -36,12 +38,12 @@
     /// The fingerprint of a request.
     pub fn of(source: &FingerprintSource<'_>) -> Self {
         let mut digest = Sha256::new();
-        let caller = source.caller.to_canonical().to_string();
-        let texts = [caller.as_str(), source.method, source.host, source.target];
-        for text in texts {
-            // With its length, so that no two lists of texts give the same bytes.
-            digest.update((text.len() as u64).to_be_bytes());
-            digest.update(text);
+        let texts = [source.method, source.host, source.target];
+        let parts = texts.map(str::as_bytes);
+        for part in [source.credentials].into_iter().chain(parts) {
+            // With its length, so that no two lists of parts give the same bytes.
+            digest.update((part.len() as u64).to_be_bytes());
+            digest.update(part);
         }
         digest.update(source.body);
         let digest = digest.finalize();
