--- a/crates/thornbridge-proto/src/peer/tests.rs
+++ b/crates/thornbridge-proto/src/peer/tests.rs
@@ -1,7 +1,9 @@
-use super::PeerEndpoint;
 use super::health::{BackEndKey, HealthBatch, HealthChange, HealthFact, PackedFact};
 use super::membership::{MemberBatch, MemberRecord, MemberState};
+use super::quarantine::{CrashRecord, QuarantineMessage};
+use super::{PeerEndpoint, PeerMessage};
 use crate::back_end::Readiness;
+use crate::fingerprint::Fingerprint;
 use crate::{Incarnation, NodeId, frame};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
@@ -101,3 +103,29 @@
     }
     assert!(frame::decode::<MemberState>(&[4]).is_err());
 }
+
+fn crash_record() -> impl Strategy<Value = CrashRecord> {
+    let instances =
+        proptest::collection::vec((0..9_u8).prop_map(|n| format!("i-{n}").into()), 0..4);
+    let rest = (any::<u128>(), any::<u32>(), any::<bool>());
+    (instances, rest).prop_map(|(instances, (fingerprint, age_ms, cleared))| CrashRecord {
+        fingerprint: Fingerprint(fingerprint),
+        instances,
+        age_ms,
+        cleared,
+    })
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn crash_records_come_out_of_a_frame_as_they_went_in(
+        records in proptest::collection::vec(crash_record(), 0..20)
+    ) {
+        let message = PeerMessage::Quarantine(QuarantineMessage { records });
+        let bytes = frame::encode(&message).expect("encodes");
+        let decoded: PeerMessage = frame::decode(&bytes).expect("decodes");
+        prop_assert_eq!(decoded, message);
+    }
+}
