A request whose outcome is unknown when a node ends is not called not run

Cause: both halves turned a reply that never came into a 503 that promises the request did not run, also where the driver had taken it and a server may have run it. Seen once as a failed test of a second signal; the process's end and the last answers race. Change: 'never taken' and 'outcome unknown' are two cases of one type; the second breaks the caller's connection, the first stays a 503. Tests of both halves, three of which fail with the mapping of before. Read for the same elsewhere: attempts that were never written (closed queue of a connection, a request that hyper hands back), slices that are refused, tasks that cannot be relayed: each is known not to have run where it says so.

--- a/crates/thornbridge-node/src/callers/mod.rs
+++ b/crates/thornbridge-node/src/callers/mod.rs
@@ -2,8 +2,11 @@
 
 mod problem;
 mod request;
+#[cfg(test)]
+mod tests;
 
-use crate::input::{CallerReply, CallerRequest, Input, InputSender};
+use crate::input::{CallerReply, CallerRequest, DriverEnded, Input, InputSender};
+use crate::unanswered::{OutcomeUnknown, Unanswered};
 use bytes::{Buf, Bytes};
 use futures_util::Stream;
 use problem::Rejected;
@@ -94,8 +97,9 @@
             Err(rejected) => return problem::response(&rejected, None),
         };
         match self.ask(request).await {
-            Some(reply) => respond(reply),
-            None => problem::response(&Rejected::stopping(), None),
+            Ok(reply) => respond(reply),
+            Err(Unanswered::NeverTaken) => problem::response(&Rejected::stopping(), None),
+            Err(Unanswered::OutcomeUnknown(unknown)) => without_answer(unknown),
         }
     }
 
@@ -120,7 +124,7 @@
     }
 
     /// Hands a request to the core. Dropping the future tells the core that the caller is gone.
-    async fn ask(&self, request: CallerRequest) -> Option<CallerReply> {
+    async fn ask(&self, request: CallerRequest) -> Result<CallerReply, Unanswered> {
         let caller = CallerId(self.next.fetch_add(1, Ordering::Relaxed) + 1);
         let (reply, receiver) = oneshot::channel();
         let input = Input::Caller {
@@ -133,10 +137,11 @@
             inputs: &self.inputs,
             answered: false,
         };
-        self.inputs.send(input).await.ok()?;
-        let reply = receiver.await.ok();
+        let taken = self.inputs.send(input).await;
+        taken.map_err(|DriverEnded| Unanswered::NeverTaken)?;
+        let reply = receiver.await;
         presence.answered = true;
-        reply
+        reply.map_err(|_| Unanswered::OutcomeUnknown(OutcomeUnknown))
     }
 }
 
@@ -155,6 +160,14 @@
     }
 }
 
+/// Stands for no response: the server breaks the connection instead of sending it.
+fn without_answer(unknown: OutcomeUnknown) -> Response {
+    let mut response = Response::default();
+    *response.status_mut() = StatusCode::BAD_GATEWAY;
+    response.extensions_mut().insert(unknown);
+    response
+}
+
 fn respond(reply: CallerReply) -> Response {
     match reply {
         CallerReply::Query(answer) => json(&answer, answer.request_id),
--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -5,6 +5,7 @@
 use super::driver::{CallerRequest, GatewayInput};
 use super::headers::{WireNames, number, strip};
 use crate::sockets;
+use crate::unanswered::{OutcomeUnknown, Unanswered};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
@@ -17,7 +18,6 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
@@ -28,6 +28,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
 
+#[cfg(test)]
+mod tests;
+
 /// Pause after an accept that failed, as when the process has no descriptor left.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 /// Time that a caller may leave bytes of an answer untaken.
@@ -91,7 +94,7 @@
     let service = service_fn(|request| {
         let callers = Arc::clone(callers);
         let activity = Arc::clone(&activity);
-        async move { Ok::<_, Infallible>(answer(&callers, &activity, request).await) }
+        async move { answer(&callers, &activity, request).await }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -101,7 +104,8 @@
     tokio::pin!(connection);
     let mut sweep = tokio::time::interval(SWEEP_INTERVAL);
     loop {
-        // A connection's error is its caller's doing: a broken pipe or bytes that are not HTTP.
+        // A connection's error is its caller's doing, a broken pipe or bytes that are not HTTP; or the
+        // driver ended under its request.
         tokio::select! {
             _ = &mut connection => return,
             () = callers.ended.cancelled() => break,
@@ -121,18 +125,20 @@
     callers: &Callers,
     activity: &Activity,
     request: Request<Incoming>,
-) -> Response<Full<Bytes>> {
+) -> Result<Response<Full<Bytes>>, OutcomeUnknown> {
     let first_on_connection = activity.request_began();
     let mut response = match take(callers, request, first_on_connection).await {
         Ok(answer) => respond(&callers.names, answer),
-        Err(problem) => problem.response(),
+        Err(NotDecided::Malformed(problem)) => problem.response(),
+        Err(NotDecided::Unanswered(Unanswered::NeverTaken)) => Malformed::Stopping.response(),
+        Err(NotDecided::Unanswered(Unanswered::OutcomeUnknown(unknown))) => return Err(unknown),
     };
     if callers.closing.load(Ordering::Relaxed) {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
     activity.request_ended();
-    response
+    Ok(response)
 }
 
 /// A request that is refused before the core sees it.
@@ -144,6 +150,25 @@
     Stopping,
 }
 
+/// Why there is no answer of the core.
+#[derive(Clone, Copy, Debug)]
+enum NotDecided {
+    Malformed(Malformed),
+    Unanswered(Unanswered),
+}
+
+impl From<Malformed> for NotDecided {
+    fn from(malformed: Malformed) -> Self {
+        Self::Malformed(malformed)
+    }
+}
+
+impl From<Unanswered> for NotDecided {
+    fn from(unanswered: Unanswered) -> Self {
+        Self::Unanswered(unanswered)
+    }
+}
+
 impl Malformed {
     fn response(self) -> Response<Full<Bytes>> {
         let (status, reason) = match self {
@@ -163,7 +188,7 @@
     callers: &Callers,
     request: Request<Incoming>,
     first_on_connection: bool,
-) -> Result<GatewayAnswer, Malformed> {
+) -> Result<GatewayAnswer, NotDecided> {
     let (mut parts, body) = request.into_parts();
     // hyper takes a length that stands beside a transfer encoding off, and closes the connection
     // after the request (RFC 9112, section 6.3), so that nothing can be smuggled by it.
@@ -187,15 +212,15 @@
         .inputs
         .send(input)
         .await
-        .map_err(|_| Malformed::Stopping)?;
+        .map_err(|_| Unanswered::NeverTaken)?;
     let mut gone = GoneGuard {
         caller,
         gone: &callers.gone,
         armed: true,
     };
-    let answer = answer.await.map_err(|_| Malformed::Stopping);
+    let decided = answer.await;
     gone.armed = false;
-    let decided = answer?;
+    let decided = decided.map_err(|_| Unanswered::OutcomeUnknown(OutcomeUnknown))?;
     callers.delays.observe(&decided);
     Ok(decided.answer)
 }
--- a/crates/thornbridge-node/src/lib.rs
+++ b/crates/thornbridge-node/src/lib.rs
@@ -26,6 +26,7 @@
 mod settings;
 mod sockets;
 mod transport;
+mod unanswered;
 
 pub use error::NodeError;
 pub use peers::PeerParameters;
--- a/crates/thornbridge-node/src/server.rs
+++ b/crates/thornbridge-node/src/server.rs
@@ -4,6 +4,7 @@
 //! connections are served here, through hyper, with the filter as the service.
 
 use crate::sockets;
+use crate::unanswered::OutcomeUnknown;
 use hyper::server::conn::http1;
 use hyper::service::{Service, service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -108,14 +109,22 @@
     let requested = CancellationToken::new();
     let service = service_fn(|request| {
         requested.cancel();
-        routes.call(request)
+        let responding = routes.call(request);
+        async move {
+            let response = responding.await.unwrap_or_else(|never| match never {});
+            match response.extensions().get::<OutcomeUnknown>() {
+                Some(unknown) => Err(*unknown),
+                None => Ok(response),
+            }
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_read_timeout)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
-    // A connection's error is its client's doing: a broken pipe or bytes that are not HTTP.
+    // A connection's error is its client's doing, a broken pipe or bytes that are not HTTP; or the driver
+    // ended under its request.
     tokio::select! {
         _ = &mut connection => return,
         () = stop.cancelled() => {}
