The drivers' clocks count the time for which a machine was suspended

Cause: the runtime's clock stands still while a machine is suspended, so that views, leases and requests seemed younger than they were when it woke, and no pause was told. Change: at each wake the difference of CLOCK_BOOTTIME and CLOCK_MONOTONIC is added to both drivers' clocks; a gap is then a pause like that of a stopped process, and deadlines that passed have passed. Timeouts of the runtime itself do not count such time.

--- a/crates/thornbridge-node/src/driver.rs
+++ b/crates/thornbridge-node/src/driver.rs
@@ -110,6 +110,7 @@
                 () = &mut timer => {}
                 _ = ticks.tick() => ticked = true,
             }
+            self.clock.catch_up();
             if let Some(by) = pauses.wake(self.clock.now()) {
                 self.counters.pauses += 1;
                 self.handle(Event::ClockJumped { by });
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -150,6 +150,7 @@
                 () = &mut timer => {}
                 _ = sweep.tick() => self.peers.sweep(),
             }
+            self.clock.catch_up();
             if let Some(by) = pauses.wake(self.clock.now()) {
                 self.handle(GatewayEvent::Paused { by });
             }
