A request that was answered within ten seconds is not suspected of crashing servers

Cause: where many callers send the same request and all servers of a service end at one moment, three connections that break with it would have kept it from servers for ten minutes.

--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -313,6 +313,9 @@
     /// Time after its last crash for which a request is kept from servers. A guess: servers may be
     /// repaired meanwhile, and one of them gets it then.
     pub kept: Duration,
+    /// Time for which an answered request is not suspected: connections of servers that end at one
+    /// moment break within a second or two. A guess beyond that.
+    pub answered_lifetime: Duration,
     /// Requests that are remembered: about 0.5 MB.
     pub records_maximum: usize,
 }
@@ -326,7 +329,8 @@
             testing: Duration::from_millis(500),
             telling: Duration::from_millis(100),
             repair_interval: Duration::from_secs(1),
-            kept: Duration::from_secs(600),
+            kept: Duration::from_secs(180),
+            answered_lifetime: Duration::from_secs(10),
             records_maximum: 2_048,
         }
     }
--- a/crates/thornbridge-core/src/gateway/quarantine/mod.rs
+++ b/crates/thornbridge-core/src/gateway/quarantine/mod.rs
@@ -14,9 +14,11 @@
 //!
 //! | module | concern |
 //! | --- | --- |
+//! | `answered` | requests that servers answered lately |
 //! | `record` | what is known of one request |
 //! | `spreading` | who is told, and when |
 
+mod answered;
 mod record;
 mod spreading;
 
@@ -24,6 +26,7 @@
 use super::notes::{GatewayChange, ViewOrigin};
 use super::parameters::QuarantineParameters;
 use crate::time::Timestamp;
+use answered::AnsweredLately;
 use record::{Audience, Record, Stage};
 use spreading::Spreading;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -50,6 +53,7 @@
 pub(super) struct Quarantine {
     parameters: QuarantineParameters,
     records: BTreeMap<Fingerprint, Record>,
+    answered: AnsweredLately,
     /// When others are to be told of which.
     to_tell: BTreeSet<(Timestamp, Fingerprint)>,
     spreading: Spreading,
@@ -61,6 +65,7 @@
         Self {
             parameters,
             records: BTreeMap::new(),
+            answered: AnsweredLately::default(),
             to_tell: BTreeSet::new(),
             spreading: Spreading::default(),
             next_sweep: Timestamp::ZERO,
@@ -123,11 +128,18 @@
         fingerprint: Fingerprint,
         instance: &BackEndId,
     ) {
-        if !self.parameters.enabled {
+        let parameters = &self.parameters;
+        let lifetime = parameters.answered_lifetime;
+        let answered = self.answered.contains(now, fingerprint, lifetime);
+        if !parameters.enabled || answered {
             return;
         }
-        let needed = self.parameters.crashes;
+        let needed = parameters.crashes;
         let record = self.record(now, fingerprint);
+        if record.stage == Stage::Cleared && now.since(record.changed) >= lifetime {
+            // What servers hold may have changed since they answered it.
+            *record = Record::new(now);
+        }
         if record.stage == Stage::Cleared || !record.add(instance) {
             return;
         }
@@ -153,6 +165,8 @@
 
     /// A server answered a request.
     pub(super) fn answered(&mut self, now: Timestamp, fingerprint: Fingerprint) {
+        let lifetime = self.parameters.answered_lifetime;
+        self.answered.add(now, fingerprint, lifetime);
         let Some(record) = self.records.get_mut(&fingerprint) else {
             return;
         };
