--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -5,11 +5,13 @@
 use super::request::{Progress, Request};
 use super::slice::Slice;
 use super::{Exchanges, Scope};
+use crate::driver_action::CallerId;
 use crate::gateway::action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason};
-use crate::gateway::event::ServerReply;
+use crate::gateway::event::{RequestHead, ServerReply};
 use crate::gateway::notes::{AttemptNote, AttemptOutcome, RequestNote};
 use crate::gateway::parameters::ExchangeParameters;
-use crate::gateway::routes::{ResolvedGather, ResolvedTarget};
+use crate::gateway::patience::CallerTry;
+use crate::gateway::routes::{ResolvedGather, ResolvedRoute, ResolvedTarget};
 use crate::time::Timestamp;
 use bytes::Bytes;
 use std::time::Duration;
@@ -163,6 +165,42 @@
 }
 
 impl Exchanges {
+    /// Refuses a request before anything is done for it.
+    pub(super) fn refuse_unstarted(
+        &mut self,
+        scope: &mut Scope<'_>,
+        caller: CallerId,
+        head: &RequestHead,
+        route: &ResolvedRoute,
+        reason: RefusalReason,
+        retry_after: Duration,
+    ) {
+        let note = RequestNote::unstarted(
+            head.id.clone().unwrap_or_default(),
+            head.fingerprint,
+            route.route.name.clone(),
+            route.version,
+            scope.registry,
+            reason,
+        );
+        let retry_after = Some(retry_after);
+        let caller_try = match reason {
+            RefusalReason::Overloaded | RefusalReason::CrashesServers => CallerTry::Unknown,
+            _ => CallerTry::First,
+        };
+        let note = note.with_retry(caller_try, retry_after);
+        scope.actions.push_back(GatewayAction::Finished(note));
+        let promise = RefusalPromise::NotRun;
+        let answer = GatewayAnswer::Refused {
+            reason,
+            promise,
+            retry_after,
+        };
+        scope
+            .actions
+            .push_back(GatewayAction::Answer { caller, answer });
+    }
+
     /// Tells the log how a request ended.
     pub(super) fn note(
         &self,
--- a/crates/thornbridge-core/src/gateway/exchange/caution.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/caution.rs
@@ -2,26 +2,42 @@
 
 use super::answering::crashes_servers;
 use super::attempts::Attempt;
-use super::leg::LegState;
+use super::leg::{Leg, LegState};
 use super::request::{Origin, Request};
 use super::{Exchanges, Scope};
+use crate::driver_action::CallerId;
+use crate::gateway::action::RefusalReason;
+use crate::gateway::event::RequestHead;
 use crate::gateway::quarantine::Caution;
+use crate::gateway::routes::ResolvedRoute;
+use crate::time::Timestamp;
 use std::time::Duration;
 
 /// Time between looks at a request that servers crashed under: what other nodes tell of it is no event
 /// of its own.
-pub(super) const CAREFUL_LOOK: Duration = Duration::from_millis(20);
+const CAREFUL_LOOK: Duration = Duration::from_millis(20);
+/// Least time between looks at a request.
+const LEAST_LOOK: Duration = Duration::from_millis(1);
 
 impl Request {
     /// Whether a server has answered a part of it: then it is not what makes servers crash.
     pub(super) fn has_answer(&self) -> bool {
-        self.legs.iter().any(super::leg::Leg::is_answered)
+        self.legs.iter().any(Leg::is_answered)
     }
 
     fn has_open_attempt(&self) -> bool {
         self.legs.iter().any(|leg| !leg.open.is_empty())
     }
 
+    /// When it is to be looked at, if no attempt ends before.
+    pub(super) fn next_look_by(&self, caution: Caution, now: Timestamp) -> Timestamp {
+        let look = match caution {
+            Caution::None => self.next_look(now),
+            _ => (now + CAREFUL_LOOK).min(self.ends),
+        };
+        look.max(now + LEAST_LOOK)
+    }
+
     /// Whether it is given up.
     pub(super) fn is_over_by(&self, caution: Caution) -> bool {
         match caution {
@@ -42,6 +58,19 @@
         }
     }
 
+    /// Refuses a request that crashes servers before anything is done for it.
+    pub(super) fn refuse_crashing(
+        &mut self,
+        scope: &mut Scope<'_>,
+        caller: CallerId,
+        head: &RequestHead,
+        route: &ResolvedRoute,
+    ) {
+        let reason = RefusalReason::CrashesServers;
+        let lasts = scope.quarantine.lasts(scope.now, head.fingerprint);
+        self.refuse_unstarted(scope, caller, head, route, reason, lasts);
+    }
+
     /// An attempt broke: takes it as a crash that its request may have caused.
     pub(super) fn suspect(&self, scope: &mut Scope<'_>, record: &Attempt) {
         let request = record.caller.and_then(|caller| self.requests.get(&caller));
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -25,11 +25,10 @@
 #[cfg(test)]
 mod tests;
 
-use super::action::{GatewayAction, GatewayAnswer, RefusalPromise, RefusalReason};
+use super::action::{GatewayAction, GatewayAnswer, RefusalReason};
 
 use super::budget::{ExtraAttemptBudget, ServiceKey};
 use super::event::RequestHead;
-use super::notes::RequestNote;
 use super::parameters::ExchangeParameters;
 use super::patience::CallerTry;
 use super::quarantine::{Caution, Quarantine};
@@ -39,7 +38,6 @@
 use crate::driver_action::{CallerId, ConnectionId};
 use crate::time::Timestamp;
 use attempts::Attempt;
-use caution::CAREFUL_LOOK;
 pub(super) use delay::AnswerDelay;
 use leg::Leg;
 use rand_pcg::Pcg64Mcg;
@@ -149,9 +147,7 @@
         }
         let caution = scope.quarantine.caution(scope.now, head.fingerprint);
         if matches!(caution, Caution::NoMore | Caution::Refuse) {
-            let reason = RefusalReason::CrashesServers;
-            let lasts = scope.quarantine.lasts(scope.now, head.fingerprint);
-            self.refuse_unstarted(scope, caller, &head, &route, reason, lasts);
+            self.refuse_crashing(scope, caller, &head, &route);
             return;
         }
         let times = self.times(scope, &head, &route, arrived);
@@ -254,11 +250,7 @@
             self.finish(scope, request, answer);
             return;
         }
-        let soonest = scope.now + Duration::from_millis(1);
-        request.look_at = match caution {
-            Caution::None => request.next_look(scope.now).max(soonest),
-            _ => (scope.now + CAREFUL_LOOK).min(request.ends).max(soonest),
-        };
+        request.look_at = request.next_look_by(caution, scope.now);
         self.schedule.insert((request.look_at, caller));
         self.requests.insert(caller, request);
     }
@@ -293,41 +285,6 @@
         Some(request)
     }
 
-    fn refuse_unstarted(
-        &mut self,
-        scope: &mut Scope<'_>,
-        caller: CallerId,
-        head: &RequestHead,
-        route: &ResolvedRoute,
-        reason: RefusalReason,
-        retry_after: Duration,
-    ) {
-        let note = RequestNote::unstarted(
-            head.id.clone().unwrap_or_default(),
-            head.fingerprint,
-            route.route.name.clone(),
-            route.version,
-            scope.registry,
-            reason,
-        );
-        let retry_after = Some(retry_after);
-        let caller_try = match reason {
-            RefusalReason::Overloaded | RefusalReason::CrashesServers => CallerTry::Unknown,
-            _ => CallerTry::First,
-        };
-        let note = note.with_retry(caller_try, retry_after);
-        scope.actions.push_back(GatewayAction::Finished(note));
-        let promise = RefusalPromise::NotRun;
-        let answer = GatewayAnswer::Refused {
-            reason,
-            promise,
-            retry_after,
-        };
-        scope
-            .actions
-            .push_back(GatewayAction::Answer { caller, answer });
-    }
-
     /// When an answer is due, and when the final one.
     fn times(
         &self,
--- a/crates/thornbridge-rehearsal/src/gateway/world.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world.rs
@@ -373,17 +373,6 @@
         });
     }
 
-    pub(super) fn second_of(&self, at: Timestamp) -> usize {
-        at.since_epoch().saturating_sub(LEAD).as_secs() as usize
-    }
-
-    pub(super) fn by_second(&mut self, second: usize) -> &mut (u64, u64) {
-        if self.report.served_by_second.len() <= second {
-            self.report.served_by_second.resize(second + 1, (0, 0));
-        }
-        &mut self.report.served_by_second[second]
-    }
-
     pub(super) fn caller_id(request: u64) -> CallerId {
         CallerId(request)
     }
--- a/crates/thornbridge-rehearsal/src/gateway/world/crashing.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/crashing.rs
@@ -4,6 +4,7 @@
 use super::{Sent, World};
 use crate::gateway::callers::Try;
 use crate::gateway::oracle::CONTACT;
+use crate::gateway::server::Condition;
 use rand::Rng;
 use std::time::Duration;
 use thornbridge_core::Timestamp;
@@ -70,7 +71,6 @@
     }
 
     pub(super) fn crash_under(&mut self, server: usize, request: u64) {
-        use crate::gateway::server::Condition;
         let content = self.oracle.content_of(request);
         let Some(away) = self.crashing.get(&content).copied() else {
             return;
--- a/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
@@ -43,17 +43,7 @@
                 lasts,
                 silent,
                 lapse,
-            } => {
-                self.store.condition = match silent {
-                    true => StoreCondition::Silent,
-                    false => StoreCondition::Refusing,
-                };
-                self.store_disturbed(lasts);
-                if !silent {
-                    self.cut_watches();
-                }
-                self.later(lasts, FaultStep::StoreUp { lapse });
-            }
+            } => self.store_down(lasts, silent, lapse),
             GatewayFault::StoreRefuses { node, lasts } => {
                 self.machines[node].refused_until = self.now + lasts;
             }
@@ -95,24 +85,11 @@
                 self.end_node(node, false);
                 self.later(lasts, FaultStep::StartAgain(node));
             }
-            GatewayFault::PowerOff { lasts } => {
-                for node in 0..self.machines.len() {
-                    self.end_node(node, true);
-                    let jitter = Duration::from_millis(30 * node as u64);
-                    self.later(lasts + jitter, FaultStep::StartAgain(node));
-                }
-            }
+            GatewayFault::PowerOff { lasts } => self.power_off(lasts),
             GatewayFault::CutFromPeers { node, lasts } => {
                 self.machines[node].cut_from_peers_until = self.now + lasts;
             }
-            GatewayFault::PeerLag { most, lasts } => {
-                let until = self.now + lasts;
-                self.peer_lag = PeerLag { until, most };
-                // Links that are harmed excuse bounds on time, and nothing else.
-                for machine in &mut self.machines {
-                    machine.disturbed = machine.disturbed.max(self.now + lasts);
-                }
-            }
+            GatewayFault::PeerLag { most, lasts } => self.lag_peers(most, lasts),
             GatewayFault::ServerConnectionsSilent => self.silence_server_connections(),
             GatewayFault::CrashingRequest {
                 load,
@@ -120,17 +97,49 @@
                 lasts,
                 away,
             } => self.crashing_request_comes(load, every, lasts, away),
-            GatewayFault::Freeze { node, lasts } => {
-                self.machines[node].frozen_until = self.now + lasts;
-                let machine = &mut self.machines[node];
-                machine.disturbed = machine.disturbed.max(self.now + lasts);
-                let life = self.machines[node].life;
-                let paused = Box::new(GatewayEvent::Paused { by: lasts });
-                self.schedule(lasts, Occurrence::ToNode(node, life, paused));
-            }
+            GatewayFault::Freeze { node, lasts } => self.freeze(node, lasts),
+        }
+    }
+
+    fn store_down(&mut self, lasts: Duration, silent: bool, lapse: bool) {
+        self.store.condition = match silent {
+            true => StoreCondition::Silent,
+            false => StoreCondition::Refusing,
+        };
+        self.store_disturbed(lasts);
+        if !silent {
+            self.cut_watches();
+        }
+        self.later(lasts, FaultStep::StoreUp { lapse });
+    }
+
+    fn power_off(&mut self, lasts: Duration) {
+        for node in 0..self.machines.len() {
+            self.end_node(node, true);
+            let jitter = Duration::from_millis(30 * node as u64);
+            self.later(lasts + jitter, FaultStep::StartAgain(node));
         }
     }
 
+    fn lag_peers(&mut self, most: Duration, lasts: Duration) {
+        let until = self.now + lasts;
+        self.peer_lag = PeerLag { until, most };
+        // Links that are harmed excuse bounds on time, and nothing else.
+        for machine in &mut self.machines {
+            machine.disturbed = machine.disturbed.max(until);
+        }
+    }
+
+    fn freeze(&mut self, node: usize, lasts: Duration) {
+        let until = self.now + lasts;
+        let machine = &mut self.machines[node];
+        machine.frozen_until = until;
+        machine.disturbed = machine.disturbed.max(until);
+        let life = machine.life;
+        let paused = Box::new(GatewayEvent::Paused { by: lasts });
+        self.schedule(lasts, Occurrence::ToNode(node, life, paused));
+    }
+
     pub(super) fn later(&mut self, after: Duration, step: FaultStep) {
         self.last_fault = self.last_fault.max(self.now + after);
         self.schedule(after, Occurrence::FaultStep(step));
--- a/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
@@ -1,6 +1,6 @@
 //! What nodes want done, and what callers do.
 
-use super::{Occurrence, Sent, World};
+use super::{LEAD, Occurrence, Sent, World};
 use crate::gateway::callers::Try;
 use crate::gateway::network::{STORE_TIME, way};
 use crate::gateway::oracle::{Asked, Rule};
@@ -12,7 +12,7 @@
 use thornbridge_core::gateway::{
     GatewayAction, GatewayAnswer, GatewayChange, GatewayEvent, RefusalReason, RequestHead,
 };
-use thornbridge_core::{CallerId, ConnectionId};
+use thornbridge_core::{CallerId, ConnectionId, Timestamp};
 use thornbridge_proto::ServiceName;
 use thornbridge_proto::byte_string::SharedBytes;
 use thornbridge_proto::fingerprint::Fingerprint;
@@ -293,6 +293,17 @@
         self.report.wrongly_refused += u64::from(crashes && ordinary);
     }
 
+    pub(super) fn second_of(&self, at: Timestamp) -> usize {
+        at.since_epoch().saturating_sub(LEAD).as_secs() as usize
+    }
+
+    pub(super) fn by_second(&mut self, second: usize) -> &mut (u64, u64) {
+        if self.report.served_by_second.len() <= second {
+            self.report.served_by_second.resize(second + 1, (0, 0));
+        }
+        &mut self.report.served_by_second[second]
+    }
+
     fn served(&mut self, request: u64, missing: usize) {
         let Some(served) = self.tries.remove(&request) else {
             return;
