--- a/crates/thornbridge-core/src/gateway/quarantine/mod.rs
+++ b/crates/thornbridge-core/src/gateway/quarantine/mod.rs
@@ -35,6 +35,10 @@
 use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::quarantine::CrashRecord;
 
+/// Instances that are remembered of one request: those of its crashes, its tests, and some that ended
+/// before it was known.
+const INSTANCES_KEPT: usize = 8;
+
 /// How a request may be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Caution {
@@ -101,6 +105,9 @@
         match record.stage {
             Stage::Cleared => Caution::None,
             Stage::Suspected => Caution::OneAtATime,
+            Stage::Tested { .. } | Stage::Quarantined if self.is_explained(fingerprint, record) => {
+                Caution::OneAtATime
+            }
             Stage::Quarantined => Caution::Refuse,
             Stage::Tested { since, .. } if now.since(since) >= self.parameters.testing => {
                 Caution::Refuse
@@ -112,6 +119,22 @@
         }
     }
 
+    /// Whether another request in quarantine had all servers that crashed under this one, and more: then
+    /// this one merely ran beside it, and gets one server at a time until one crashes that the other
+    /// had not.
+    fn is_explained(&self, fingerprint: Fingerprint, record: &Record) -> bool {
+        let mut others = self
+            .records
+            .iter()
+            .filter(|(other, _)| **other != fingerprint);
+        others.any(|(_, other)| {
+            let more = other.instances.len() > record.instances.len();
+            let mut own = record.instances.iter();
+            let quarantined = other.stage.has_enough_crashes();
+            quarantined && more && own.all(|instance| other.instances.contains(instance))
+        })
+    }
+
     /// How long a request that is refused will be.
     pub(super) fn lasts(&self, now: Timestamp, fingerprint: Fingerprint) -> Duration {
         let record = self.records.get(&fingerprint);
@@ -139,7 +162,7 @@
         let Some(record) = self.suspected(now, now, fingerprint) else {
             return;
         };
-        if !record.add(instance, needed + 1) {
+        if !record.add(instance, INSTANCES_KEPT) {
             return;
         }
         record.changed = now;
@@ -201,7 +224,7 @@
         };
         let before = record.stage.has_enough_crashes();
         for instance in &theirs.instances {
-            if record.add(instance, needed + 1) {
+            if record.add(instance, INSTANCES_KEPT) {
                 record.changed = record.changed.max(now - age);
             }
         }
--- a/crates/thornbridge-core/src/gateway/tests/quarantine.rs
+++ b/crates/thornbridge-core/src/gateway/tests/quarantine.rs
@@ -80,6 +80,26 @@
     assert_eq!(refusal(&harness, caller), expected);
 }
 
+/// A request that ran beside one that crashes servers, three times, is not refused for it.
+#[test]
+fn crashes_that_another_request_explains_leave_one_server_at_a_time() {
+    let told = |fingerprint, instances: &[u8]| CrashRecord {
+        fingerprint: Fingerprint(fingerprint),
+        ..record(instances, false)
+    };
+    let beside = learnt(&[told(1, &[1, 2, 3, 4]), told(2, &[2, 3, 4])]);
+    let caution = |quarantine: &Quarantine, fingerprint| {
+        quarantine.caution(Timestamp::ZERO, Fingerprint(fingerprint))
+    };
+    assert_eq!(caution(&beside, 1), Caution::Refuse);
+    assert_eq!(caution(&beside, 2), Caution::OneAtATime);
+    let both = learnt(&[told(1, &[1, 2, 3, 4]), told(2, &[2, 3, 5])]);
+    assert_eq!(caution(&both, 2), Caution::Refuse);
+    let alike = learnt(&[told(1, &[1, 2, 3]), told(2, &[1, 2, 3])]);
+    assert_eq!(caution(&alike, 1), Caution::Refuse);
+    assert_eq!(caution(&alike, 2), Caution::Refuse);
+}
+
 #[test]
 fn a_search_is_not_suspected_once_a_shard_answered() {
     let mut harness = node();
