--- a/crates/thornbridge-rehearsal/tests/gateway/silences.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/silences.rs
@@ -31,14 +31,19 @@
     }
 }
 
-/// Nodes use a connection seldom here, and learn of each only by a request. 159 of 170 were served
-/// where a dead connection kept its place until its request ended, and 147 of 151 since.
+/// Nodes use a connection seldom here, and learn of each only by a request. 0.955 are served on 32
+/// seeds, and 0.91 to 0.98 on each: too few are asked for one seed to show more.
 #[test]
 fn most_callers_are_served_again_where_gathers_are_divided() {
-    for seed in 1..3 {
+    let (mut asked, mut served) = (0, 0);
+    for seed in 1..9 {
         let report = all_silent(GatewayScenario::many_small_nodes(seed));
-        assert_served_within_two_seconds(&report, 95);
+        assert_served_within_two_seconds(&report, 91);
+        let later = &report.served_by_second[SECOND + 2..];
+        asked += later.iter().map(|(asked, _)| asked).sum::<u64>();
+        served += later.iter().map(|(_, served)| served).sum::<u64>();
     }
+    assert!(served * 100 >= asked * 95, "{served} of {asked}");
 }
 
 #[test]
