--- a/crates/thornbridge-rehearsal/src/gateway/scenario.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/scenario.rs
@@ -1,6 +1,8 @@
 //! What a run is made of.
 
 use super::fault::TimedFault;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
 use thornbridge_config::routes::{
     CallerLimits, GatherTarget, Repeatability, Route, RouteConfiguration, RouteTarget,
@@ -43,6 +45,8 @@
     pub plain_servers: u32,
     /// Load.
     pub loads: Vec<RouteLoad>,
+    /// Share of the callers that come from the first zone; `None`: as many as from each other one.
+    pub first_zone_share: Option<f64>,
     /// Whether the plain route's requests may be repeated.
     pub plain_repeatable: bool,
     /// Extra attempts for each request, and beside those in 10 s.
@@ -103,6 +107,7 @@
                     patience: Duration::from_millis(6_000),
                 },
             ],
+            first_zone_share: None,
             plain_repeatable: true,
             budget: (0.2, 56.0),
             drain: Duration::from_secs(3),
@@ -143,6 +148,16 @@
         scenario
     }
 
+    /// Zone of the next caller.
+    pub(super) fn draw_zone(&self, random: &mut Pcg64Mcg) -> usize {
+        let first = self.first_zone_share.map(|share| random.random_bool(share));
+        match first {
+            None => random.random_range(0..self.nodes.len()),
+            Some(true) => 0,
+            Some(false) => random.random_range(1..self.nodes.len()),
+        }
+    }
+
     /// The same with these faults.
     pub fn with_faults(mut self, faults: Vec<TimedFault>) -> Self {
         self.faults = faults;
--- a/crates/thornbridge-rehearsal/src/gateway/world.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world.rs
@@ -358,10 +358,7 @@
         let rate = self.scenario.loads[load].rate;
         let next = next_arrival(&mut self.random, rate);
         self.schedule(next, Occurrence::NextCaller(load));
-        let zone = {
-            use rand::Rng;
-            self.random.random_range(0..self.scenario.nodes.len())
-        };
+        let zone = self.scenario.draw_zone(&mut self.random);
         self.report.asked += 1;
         let second = self.second_of(self.now);
         self.by_second(second).0 += 1;
--- a/crates/thornbridge-rehearsal/tests/gateway/main.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/main.rs
@@ -6,5 +6,6 @@
 mod evacuations;
 mod findings;
 mod mixed;
+mod overloads;
 mod silences;
 mod support;
