--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! | module | concern |
 //! | --- | --- |
-//! | `views` | route configuration and registry, from the store and from peers |
+//! | `views` | route configuration, registry and evacuated zones, from the store and from peers |
 //! | `routes` | the configuration in force, resolved |
 //! | `servers` | what is known of servers, their connections, the choice among them |
 //! | `exchange` | requests: attempts, hedges, retries, completeness, answers |
