--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -185,7 +185,8 @@
             .of_service(service)
             .filter(|server| !server.is_leaving())
             .peekable();
-        staying.peek().is_some() && staying.all(|server| server.evacuated)
+        let any = !self.evacuated.is_empty() && staying.peek().is_some();
+        any && staying.all(|server| server.evacuated)
     }
 
     /// Whether a service has a server that takes requests beside these.
