--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/enforcing.rs
@@ -0,0 +1,77 @@
+//! From a configuration that is learnt to one that is in force.
+
+use super::Gateway;
+use super::action::GatewayAction;
+use super::notes::{GatewayChange, ViewOrigin};
+use super::routes::services_of;
+use super::staging::Staged;
+use std::sync::Arc;
+use thornbridge_config::routes::RouteConfiguration;
+
+impl Gateway {
+    /// Takes a configuration where it is newer and nothing is wrong with it.
+    pub(super) fn take_configuration(
+        &mut self,
+        configuration: RouteConfiguration,
+        origin: ViewOrigin,
+    ) -> bool {
+        let version = configuration.version;
+        if version.0 <= self.digest().configuration {
+            return false;
+        }
+        let problems = configuration.problems();
+        if !problems.is_empty() {
+            let reasons: Vec<String> = problems.iter().map(ToString::to_string).collect();
+            self.object_refused(format!("configuration {version}"), reasons.join("; "));
+            return false;
+        }
+        let warm = services_of(&configuration, &mut self.servers);
+        self.servers.configure(&configuration.services, warm);
+        self.staging
+            .stage(self.now, Arc::new(configuration), origin);
+        self.division_stale = true;
+        self.divide();
+        self.servers.keep_warm(self.now, &mut self.actions);
+        true
+    }
+
+    pub(super) fn staged_may_start(&mut self) -> bool {
+        let Some(staged) = self.staging.get() else {
+            return false;
+        };
+        let waited = self.now.since(staged.since) >= self.parameters.views.staging;
+        if waited || self.configuration.is_none() {
+            return true;
+        }
+        let configuration = Arc::clone(&staged.configuration);
+        let named = services_of(&configuration, &mut self.servers);
+        named
+            .into_iter()
+            .all(|service| self.servers.is_warm(service) || !self.servers.has_server(service))
+    }
+
+    pub(super) fn put_in_force(&mut self) {
+        let Some(staged) = self.staging.take() else {
+            return;
+        };
+        let Staged {
+            configuration,
+            origin,
+            since,
+        } = staged;
+        let replaced = self.routes.version;
+        self.routes.apply(&configuration, &mut self.servers);
+        self.division_stale = true;
+        self.divide();
+        let limits = configuration.limits;
+        self.actions.push_back(GatewayAction::SetLimits { limits });
+        let change = GatewayChange::ConfigurationInForce {
+            version: configuration.version,
+            replaced,
+            origin,
+            staged_for: self.now.since(since),
+        };
+        self.actions.push_back(GatewayAction::Changed(change));
+        self.configuration = Some(configuration);
+    }
+}
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod action;
 mod awaiting;
 mod budget;
+mod enforcing;
 mod event;
 mod exchange;
 mod handling;
@@ -29,6 +30,7 @@
 mod notes;
 mod parameters;
 mod patience;
+mod peer_viewing;
 mod quarantine;
 mod routes;
 mod servers;
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -127,8 +127,7 @@
     pub vanished_grace: Duration,
     /// The same, counted from when the store last confirmed that the entry was there.
     pub vanished_unconfirmed: Duration,
-    /// Time for which servers count as cold after their zone's evacuation: as long as users say that a
-    /// server is cold from its start (3 s).
+    /// Time for which servers count as cold after an evacuation: as users say of their start (3 s).
     pub cold_after_evacuation: Duration,
     /// Answers from which a quantile of the work is taken.
     pub work_samples: usize,
@@ -386,9 +385,8 @@
         }
     }
 
-    /// Fits the views and servers to the operator's bounds: the time in which a configuration must be
-    /// in force, the time after which a leaving server must get nothing, and the same for the servers of
-    /// an evacuated zone, where zones may be evacuated.
+    /// Fits the views and servers to the operator's bounds: the time in which a configuration must be in
+    /// force, and those after which leaving servers, and servers of evacuated zones, must get nothing.
     pub fn fit(&mut self, in_force: Duration, drain: Duration, evacuation: Option<Duration>) {
         let least = in_force.min(drain).min(evacuation.unwrap_or(Duration::MAX));
         self.views.evacuations = evacuation.is_some();
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/peer_viewing.rs
@@ -0,0 +1,108 @@
+//! What peers tell of the views, and what they are told.
+
+use super::Gateway;
+use super::action::GatewayAction;
+use super::notes::ViewOrigin;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thornbridge_config::routes::RouteConfiguration;
+use thornbridge_proto::peer::view::{EvacuatedZones, RegistryDelta, ViewDigest, ViewMessage};
+use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
+
+impl Gateway {
+    pub(super) fn peer_message(&mut self, from: PeerEndpoint, message: PeerMessage) {
+        self.slices.heard_from(self.now, from.address);
+        match message {
+            PeerMessage::Membership(message) => self.with_membership(|membership, context| {
+                membership.peer_message(context, from, message);
+            }),
+            PeerMessage::View(message) => self.view_message(from.address, message),
+            PeerMessage::Slice(message) => self.slice_message(from.address, message),
+            PeerMessage::Quarantine(message) => {
+                for record in &message.records {
+                    self.quarantine.learnt(self.now, &mut self.actions, record);
+                }
+            }
+            // The other protocols belong to nodes that serve queries and actions.
+            PeerMessage::Configuration(_) | PeerMessage::Health(_) | PeerMessage::Action(_) => {}
+        }
+    }
+
+    pub(super) fn view_message(&mut self, peer: SocketAddr, message: ViewMessage) {
+        match message {
+            ViewMessage::Digest { digest, age_ms } => {
+                let age = Duration::from_millis(u64::from(age_ms));
+                let own = self.view_age();
+                self.freshness.heard(self.now, own.digest, digest, age);
+                self.peer_views
+                    .digest(self.now, &mut self.actions, peer, digest, age, own);
+            }
+            ViewMessage::Pull(theirs) => self.pulled(peer, theirs),
+            ViewMessage::Configuration { encoded, .. } => self.peer_configuration(&encoded),
+            ViewMessage::Registry(delta) => self.peer_registry(delta),
+            ViewMessage::Evacuations(evacuated) => self.peer_evacuations(evacuated),
+        }
+    }
+
+    pub(super) fn pulled(&mut self, peer: SocketAddr, theirs: ViewDigest) {
+        let newest = match self.staging.get() {
+            Some(staged) => Some(&staged.configuration),
+            None => self.configuration.as_ref(),
+        };
+        if let Some(configuration) = newest
+            && configuration.version.0 > theirs.configuration
+            && let Ok(encoded) = rmp_serde::to_vec(&**configuration)
+        {
+            let version = configuration.version.0;
+            self.send_view(peer, ViewMessage::Configuration { version, encoded });
+        }
+        if let Some(evacuated) = self.evacuations.newer_than(theirs.evacuations) {
+            self.send_view(peer, ViewMessage::Evacuations(evacuated));
+        }
+        if let Some(delta) = self.registry.delta(theirs.registry) {
+            self.send_view(peer, ViewMessage::Registry(delta));
+        }
+    }
+
+    pub(super) fn send_view(&mut self, to: SocketAddr, message: ViewMessage) {
+        let message = PeerMessage::View(message);
+        self.actions
+            .push_back(GatewayAction::SendPeer { to, message });
+    }
+
+    pub(super) fn peer_configuration(&mut self, encoded: &[u8]) {
+        let Ok(configuration) = rmp_serde::from_slice::<RouteConfiguration>(encoded) else {
+            self.object_refused("peer's configuration".to_owned(), "malformed".to_owned());
+            return;
+        };
+        if self.take_configuration(configuration, ViewOrigin::Peer) {
+            self.announce();
+        }
+    }
+
+    /// Tells a few peers of what is new here.
+    pub(super) fn announce(&mut self) {
+        let own = self.view_age();
+        self.peer_views
+            .announce(&mut self.random, &mut self.actions, own);
+    }
+
+    pub(super) fn peer_registry(&mut self, delta: RegistryDelta) {
+        let first = self.registry.upto().is_none();
+        let changes = self.registry.take_delta(self.now, delta);
+        let changed = !changes.is_empty();
+        self.registry_learnt(first, changes, ViewOrigin::Peer);
+        if changed {
+            self.announce();
+        }
+    }
+
+    fn peer_evacuations(&mut self, evacuated: EvacuatedZones) {
+        let changes = self.evacuations.replace(evacuated.zones, evacuated.at);
+        let changed = !changes.is_empty();
+        self.evacuations_changed(changes, ViewOrigin::Peer);
+        if changed {
+            self.announce();
+        }
+    }
+}
--- a/crates/thornbridge-core/src/gateway/viewing.rs
+++ b/crates/thornbridge-core/src/gateway/viewing.rs
@@ -1,25 +1,17 @@
-//! The views of a gateway: what the store and peers tell, and when a configuration is in force.
+//! The views of a gateway: who reads the store, and what changes with what it tells.
 
 use super::Gateway;
 use super::action::GatewayAction;
 use super::event::{SourceFailure, SourceReply, ViewKind, ViewObject};
 use super::notes::{GatewayChange, ViewOrigin};
-use super::routes::services_of;
-use super::staging::Staged;
 use super::views::evacuations::EvacuationChange;
 use super::views::peers::ViewAge;
 use super::views::registry::RegistryChange;
 use super::views::source::{SourceNews, SourceReader};
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
-use thornbridge_config::routes::RouteConfiguration;
-use thornbridge_proto::peer::view::{
-    EvacuatedZones, RegistryDelta, StoreRevision, ViewDigest, ViewMessage,
-};
-use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
+use thornbridge_proto::peer::view::{StoreRevision, ViewDigest};
 
 /// Time after a start in which a node that joins through others leaves the store to them.
 const JOINING: Duration = Duration::from_millis(700);
@@ -279,7 +271,11 @@
     }
 
     /// Takes orders to send nothing to the servers of zones, and their ends.
-    fn evacuations_changed(&mut self, changes: Vec<EvacuationChange>, origin: ViewOrigin) {
+    pub(super) fn evacuations_changed(
+        &mut self,
+        changes: Vec<EvacuationChange>,
+        origin: ViewOrigin,
+    ) {
         if changes.is_empty() {
             return;
         }
@@ -298,15 +294,6 @@
         self.strand_leaving();
     }
 
-    fn peer_evacuations(&mut self, evacuated: EvacuatedZones) {
-        let changes = self.evacuations.replace(evacuated.zones, evacuated.at);
-        let changed = !changes.is_empty();
-        self.evacuations_changed(changes, ViewOrigin::Peer);
-        if changed {
-            self.announce();
-        }
-    }
-
     /// What waits for a server that takes nothing any more goes elsewhere.
     pub(super) fn strand_leaving(&mut self) {
         for server in self.servers.leaving_with_waiting() {
@@ -315,161 +302,8 @@
         }
     }
 
-    /// Takes a configuration where it is newer and nothing is wrong with it.
-    pub(super) fn take_configuration(
-        &mut self,
-        configuration: RouteConfiguration,
-        origin: ViewOrigin,
-    ) -> bool {
-        let version = configuration.version;
-        if version.0 <= self.digest().configuration {
-            return false;
-        }
-        let problems = configuration.problems();
-        if !problems.is_empty() {
-            let reasons: Vec<String> = problems.iter().map(ToString::to_string).collect();
-            self.object_refused(format!("configuration {version}"), reasons.join("; "));
-            return false;
-        }
-        let warm = services_of(&configuration, &mut self.servers);
-        self.servers.configure(&configuration.services, warm);
-        self.staging
-            .stage(self.now, Arc::new(configuration), origin);
-        self.division_stale = true;
-        self.divide();
-        self.servers.keep_warm(self.now, &mut self.actions);
-        true
-    }
-
-    pub(super) fn staged_may_start(&mut self) -> bool {
-        let Some(staged) = self.staging.get() else {
-            return false;
-        };
-        let waited = self.now.since(staged.since) >= self.parameters.views.staging;
-        if waited || self.configuration.is_none() {
-            return true;
-        }
-        let configuration = Arc::clone(&staged.configuration);
-        let named = services_of(&configuration, &mut self.servers);
-        named
-            .into_iter()
-            .all(|service| self.servers.is_warm(service) || !self.servers.has_server(service))
-    }
-
-    pub(super) fn put_in_force(&mut self) {
-        let Some(staged) = self.staging.take() else {
-            return;
-        };
-        let Staged {
-            configuration,
-            origin,
-            since,
-        } = staged;
-        let replaced = self.routes.version;
-        self.routes.apply(&configuration, &mut self.servers);
-        self.division_stale = true;
-        self.divide();
-        let limits = configuration.limits;
-        self.actions.push_back(GatewayAction::SetLimits { limits });
-        let change = GatewayChange::ConfigurationInForce {
-            version: configuration.version,
-            replaced,
-            origin,
-            staged_for: self.now.since(since),
-        };
-        self.actions.push_back(GatewayAction::Changed(change));
-        self.configuration = Some(configuration);
-    }
-
     /// Whether configuration and registry are known.
     pub(super) fn knows_views(&self) -> bool {
         self.configuration.is_some() && self.registry.upto().is_some()
     }
-
-    pub(super) fn peer_message(&mut self, from: PeerEndpoint, message: PeerMessage) {
-        self.slices.heard_from(self.now, from.address);
-        match message {
-            PeerMessage::Membership(message) => self.with_membership(|membership, context| {
-                membership.peer_message(context, from, message);
-            }),
-            PeerMessage::View(message) => self.view_message(from.address, message),
-            PeerMessage::Slice(message) => self.slice_message(from.address, message),
-            PeerMessage::Quarantine(message) => {
-                for record in &message.records {
-                    self.quarantine.learnt(self.now, &mut self.actions, record);
-                }
-            }
-            // The other protocols belong to nodes that serve queries and actions.
-            PeerMessage::Configuration(_) | PeerMessage::Health(_) | PeerMessage::Action(_) => {}
-        }
-    }
-
-    pub(super) fn view_message(&mut self, peer: SocketAddr, message: ViewMessage) {
-        match message {
-            ViewMessage::Digest { digest, age_ms } => {
-                let age = Duration::from_millis(u64::from(age_ms));
-                let own = self.view_age();
-                self.freshness.heard(self.now, own.digest, digest, age);
-                self.peer_views
-                    .digest(self.now, &mut self.actions, peer, digest, age, own);
-            }
-            ViewMessage::Pull(theirs) => self.pulled(peer, theirs),
-            ViewMessage::Configuration { encoded, .. } => self.peer_configuration(&encoded),
-            ViewMessage::Registry(delta) => self.peer_registry(delta),
-            ViewMessage::Evacuations(evacuated) => self.peer_evacuations(evacuated),
-        }
-    }
-
-    pub(super) fn pulled(&mut self, peer: SocketAddr, theirs: ViewDigest) {
-        let newest = match self.staging.get() {
-            Some(staged) => Some(&staged.configuration),
-            None => self.configuration.as_ref(),
-        };
-        if let Some(configuration) = newest
-            && configuration.version.0 > theirs.configuration
-            && let Ok(encoded) = rmp_serde::to_vec(&**configuration)
-        {
-            let version = configuration.version.0;
-            self.send_view(peer, ViewMessage::Configuration { version, encoded });
-        }
-        if let Some(evacuated) = self.evacuations.newer_than(theirs.evacuations) {
-            self.send_view(peer, ViewMessage::Evacuations(evacuated));
-        }
-        if let Some(delta) = self.registry.delta(theirs.registry) {
-            self.send_view(peer, ViewMessage::Registry(delta));
-        }
-    }
-
-    pub(super) fn send_view(&mut self, to: SocketAddr, message: ViewMessage) {
-        let message = PeerMessage::View(message);
-        self.actions
-            .push_back(GatewayAction::SendPeer { to, message });
-    }
-
-    pub(super) fn peer_configuration(&mut self, encoded: &[u8]) {
-        let Ok(configuration) = rmp_serde::from_slice::<RouteConfiguration>(encoded) else {
-            self.object_refused("peer's configuration".to_owned(), "malformed".to_owned());
-            return;
-        };
-        if self.take_configuration(configuration, ViewOrigin::Peer) {
-            self.announce();
-        }
-    }
-
-    /// Tells a few peers of what is new here.
-    pub(super) fn announce(&mut self) {
-        let own = self.view_age();
-        self.peer_views
-            .announce(&mut self.random, &mut self.actions, own);
-    }
-
-    pub(super) fn peer_registry(&mut self, delta: RegistryDelta) {
-        let first = self.registry.upto().is_none();
-        let changes = self.registry.take_delta(self.now, delta);
-        let changed = !changes.is_empty();
-        self.registry_learnt(first, changes, ViewOrigin::Peer);
-        if changed {
-            self.announce();
-        }
-    }
 }
--- a/tools/days.py
+++ b/tools/days.py
@@ -4,18 +4,20 @@
 Usage: days.py SITE.toml DIRECTORY [--seed N] [--pairs N]
 
 Takes the traffic of the site's first day. Each file is one day, named after its troubles; the
-seed decides moments and strengths. `play_days.py` plays them and prints a table.
+seed decides moments and strengths. `play_days.py` plays them and prints a table. With `--kinds FILE`,
+the output of `fleetbench kinds SITE`, it names the kinds that the table below lacks.
 """
 import argparse
 import pathlib
 import random
+import re
 import tomllib
 
 # Kind, whether it is planned work, and its variants: fields beside `at`.
 KINDS = {
     "shift": (False, [{"share": 0.5, "for_s": 6}]),
     "retry_abuse": (False, [{"x": 3.0, "share": 0.4, "for_s": 5.5}]),
-    "give_up": (False, [{"share": 0.3, "for_s": 6}]),
+    "give_up": (False, [{"share": 0.3, "for_s": 6, "how": how} for how in ("", "once")]),
     "srv_crash": (False, [{"share": 0.2, "for_s": 5, "how": how} for how in ("", "dark", "gone", "across", "dark across")]),
     "srv_slow": (False, [{"share": 0.2, "x": 9.0, "for_s": 6, "how": how} for how in ("", "across")]),
     "release": (True, [{"share": 0.6, "x": 1.0, "gap_s": 1.0}]),
@@ -27,10 +29,10 @@
     "add_nodes": (True, [{"share": 1.0}]),
     "clock_step": (False, [{"share": 0.4, "x": 2400.0, "for_s": 6, "how": how} for how in ("back", "ahead")]),
     "reset_conns": (False, [{"share": 0.4, "x": 0.6}]),
-    "core_cut": (False, [{"count": 2, "for_s": 5.5, "how": how} for how in ("", "refuse", "reset", "all", "leader race", "seeds", "one_way")]),
+    "core_cut": (False, [{"count": 2, "for_s": 5.5, "how": how} for how in ("", "refuse", "reset", "all", "near", "leader race", "seeds", "one_way", "both")]),
     "node_cut": (False, [{"share": 0.25, "for_s": 5.5, "how": how} for how in ("", "all", "servers", "reset")]),
     "lossy": (False, [{"x": 0.03, "for_s": 6}]),
-    "platform_down": (False, [{"for_s": 5, "how": how} for how in ("silent", "busy", "reset", "silent lapse", "reset lapse")]),
+    "platform_down": (False, [{"for_s": 5, "how": how} for how in ("silent", "busy", "reset", "silent lapse", "reset lapse")] + [{"share": 0.35, "for_s": 5, "how": how} for how in ("nodes busy", "nodes many", "nodes reset", "nodes leader")]),
     "platform_slow": (False, [{"x": 60.0, "for_s": 5}]),
     "platform_lost": (False, [{"x": 0.35, "for_s": 5, "how": how} for how in ("", "late")]),
     "platform_compact": (False, [{"x": 5.5, "for_s": 10, "how": how} for how in ("", "drain")]),
@@ -42,11 +44,19 @@
     "srv_grey": (False, [{"share": 0.2, "x": 0.4, "for_s": 6, "how": how} for how in ("errors", "shed", "busy", "hang", "reset", "mute", "errors one_zone")] + [{"share": 0.2, "x": 8.0, "for_s": 6, "how": "slow"}]),
     "replace_with_reuse": (False, [{"share": 0.2, "for_s": 5, "how": how} for how in ("", "drain", "dark")]),
     "scale_out": (True, [{"share": 0.4, "gap_s": 1}]),
-    "scale_in": (True, [{"share": 0.2, "how": how} for how in ("", "spot")]),
-    "node_freeze": (False, [{"share": 0.25, "for_s": 4}]),
+    "scale_in": (True, [{"share": 0.2, "how": how} for how in ("", "spot", "reclaim")]),
+    "node_freeze": (False, [{"share": 0.25, "for_s": 4, "how": how} for how in ("", "renewed")]),
     "node_slow": (False, [{"share": 0.25, "x": 5.0, "for_s": 6}]),
     "after_ack_kill": (False, [{"count": 2, "for_s": 3, "how": how} for how in ("", "kill", "timed")]),
     "hup": (True, [{"share": 1.0, "gap_s": 1}]),
+    "evacuate": (False, [{"for_s": 6}, {"for_s": 6, "how": "warm"}]),
+    "cold_return": (False, [{"for_s": 4, "how": how} for how in ("", "dark")]),
+    "zone_loss": (False, [{"for_s": 4}]),
+    "zone_cut": (False, [{"for_s": 6}]),
+    "srv_cut": (False, [{"share": 0.2, "for_s": 6, "how": how} for how in ("", "fronts", "one_way", "reset", "reborn")] + [{"share": 0.2, "x": 0.3, "for_s": 6, "how": how} for how in ("some", "some lossy")]),
+    "srv_flap": (False, [{"share": 0.2, "gap_s": 0.8, "for_s": 7}]),
+    "srv_lying_health": (False, [{"share": 0.15, "for_s": 6, "how": how} for how in ("errors", "hang", "reset", "bad")]),
+    "idle_race": (False, [{"share": 0.6, "x": 300.0, "for_s": 6}]),
 }
 # Days on which many nodes are silent at once: planned work, faults, and how the day ends.
 SILENT_DAYS = {
@@ -90,9 +100,14 @@
     parser.add_argument("directory", type=pathlib.Path)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--pairs", type=int, default=20)
+    parser.add_argument("--kinds", type=pathlib.Path)
     options = parser.parse_args()
     site = tomllib.loads(options.site.read_text())
-    traffic = site["traffic"]
+    traffic = site.get("traffic") or site["day"][0]["traffic"]
+    if options.kinds:
+        listed = re.findall(r"^([a-z_]+): ", options.kinds.read_text(), re.M)
+        lacking = [kind for kind in listed if kind not in KINDS]
+        print("kinds that are not covered:", " ".join(lacking) or "none")
     draw = random.Random(options.seed)
     options.directory.mkdir(parents=True, exist_ok=True)
     variants = [(kind, planned, fields) for kind, (planned, all_fields) in KINDS.items() for fields in all_fields]
