--- a/crates/thornbridge-rehearsal/tests/gateway/main.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Gateways in virtual time: calm runs, each fault alone, and faults mixed by seeds.
 
 mod alone;
+mod budgets;
 mod crashing;
 mod divided;
 mod evacuations;
