Shares of the budget's slack do not add up to more than the whole, whatever nodes believe or forgot

Root cause: the shared allowance was divided by what a process believes at the moment (the members of the last ten seconds) and remembered only by the process that spent it (three seconds without a share after a start). Class: a bound over all nodes that rests on each node's momentary view and on memory that ends with a process.

Ruled out: pressure on the servers alone (534 of 614 allowed, as servers see it), half of the gateways frozen again and again (417 of 512), a machine beside 100 busy processes (196 of 348).

Change: the slack is divided by the most members that the process ever knew; a node that is to join through others and has met none has no share; no share in the first window and a twentieth of another.

--- a/crates/thornbridge-core/src/gateway/budget.rs
+++ b/crates/thornbridge-core/src/gateway/budget.rs
@@ -2,12 +2,20 @@
 //!
 //! Over any window, a service may get `ratio` extra attempts for each request and `slack` beside
 //! them, for all nodes together. The ratio divides by itself: each node counts its own requests.
-//! The slack is divided by the members, at their highest number within the window, so that the
-//! sum holds while members come, go and are misjudged. A restarted node does not know the others
-//! yet: it begins without slack, and with nothing earned.
+//! The slack is divided by the members, and the shares must not add up to more than the whole,
+//! whatever a node believes or has forgotten:
+//!
+//! - It is divided by the highest number of members that this process ever knew. Members that a node
+//!   has lost may still be there and use their shares.
+//! - A node that is to join through others and has met none uses no share: it cannot know how many
+//!   there are.
+//! - A process uses no share in its first window: it does not know what the one before it spent.
+//!
+//! Without these, 67 processes made up to 2,116 extra attempts at a shard in ten seconds where 688
+//! were allowed, as its servers counted them while the nodes that others join through were away.
 
 use super::parameters::BudgetParameters;
-use super::window::{MaximumWindow, SumWindow};
+use super::window::SumWindow;
 use crate::time::Timestamp;
 use std::collections::BTreeMap;
 
@@ -24,19 +32,31 @@
     extra: SumWindow,
 }
 
+/// How many nodes share the slack, as far as this one knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Sharers {
+    /// Others are named to join through, and none was met yet.
+    Unknown,
+    /// At most so many were members at one moment, this node included.
+    AtMost(usize),
+}
+
 /// Budgets of all services.
 #[derive(Debug)]
 pub(super) struct ExtraAttemptBudget {
     parameters: BudgetParameters,
-    members: MaximumWindow,
+    sharers: Sharers,
     services: BTreeMap<ServiceKey, ServiceBudget>,
 }
 
 impl ExtraAttemptBudget {
-    pub(super) fn new(parameters: BudgetParameters) -> Self {
-        let step = parameters.window / WINDOW_STEPS;
+    /// `joins_others`: whether other nodes are named to join through.
+    pub(super) fn new(parameters: BudgetParameters, joins_others: bool) -> Self {
         Self {
-            members: MaximumWindow::new(step, WINDOW_STEPS + 1),
+            sharers: match joins_others {
+                true => Sharers::Unknown,
+                false => Sharers::AtMost(1),
+            },
             services: BTreeMap::new(),
             parameters,
         }
@@ -51,8 +71,24 @@
     }
 
     /// Members, this node included, that share the slack.
-    pub(super) fn set_members(&mut self, now: Timestamp, members: usize) {
-        self.members.observe(now, members.max(1) as u64);
+    pub(super) fn set_members(&mut self, members: usize) {
+        self.sharers = match self.sharers {
+            Sharers::Unknown if members < 2 => Sharers::Unknown,
+            Sharers::Unknown => Sharers::AtMost(members),
+            Sharers::AtMost(most) => Sharers::AtMost(most.max(members)),
+        };
+    }
+
+    /// This node's share of the slack.
+    pub(super) fn slack_share(&self, now: Timestamp) -> f64 {
+        let parameters = &self.parameters;
+        let settled = parameters.window.mul_f64(parameters.settling_windows);
+        match self.sharers {
+            Sharers::AtMost(members) if now.since_epoch() >= settled => {
+                parameters.slack / members as f64
+            }
+            Sharers::AtMost(_) | Sharers::Unknown => 0.0,
+        }
     }
 
     /// A request for a service came.
@@ -62,15 +98,12 @@
 
     /// Whether an extra attempt is allowed now.
     pub(super) fn allows(&mut self, now: Timestamp, service: ServiceKey) -> bool {
-        let members = self.members.maximum(now).max(1) as f64;
-        let parameters = &self.parameters;
-        let settled = now.since_epoch() >= parameters.settling;
-        let slack = if settled { parameters.slack } else { 0.0 };
-        let (ratio, used) = (parameters.ratio, parameters.used_share);
+        let slack = self.slack_share(now);
+        let (ratio, used) = (self.parameters.ratio, self.parameters.used_share);
         let budget = self.budget(service);
         let requests = budget.requests.sum(now) as f64;
         let extra = budget.extra.sum(now) as f64;
-        extra + 1.0 <= used * (ratio * requests + slack / members)
+        extra + 1.0 <= used * (ratio * requests + slack)
     }
 
     /// Takes one extra attempt; `false`, and nothing taken, where the budget does not allow it.
--- a/crates/thornbridge-core/src/gateway/members.rs
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -58,7 +58,7 @@
             source.set_rank(rank);
         }
         self.peer_views.set_readers(&order, rank);
-        self.budget.set_members(self.now, members);
+        self.budget.set_members(members);
         let sharers = view.taking_work().map(|member| Sharer {
             address: member.endpoint.address,
             zone: member.zone.clone(),
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -247,8 +247,9 @@
     pub window: Duration,
     /// Share of the budget that is used: attempts arrive later than they are counted here.
     pub used_share: f64,
-    /// Time after a start in which other members may not be known: no part of the slack is used.
-    pub settling: Duration,
+    /// Windows after a start in which no part of the slack is used: the process before may have used
+    /// it up to its end, and its last attempts arrive later than they were counted.
+    pub settling_windows: f64,
 }
 
 impl Default for BudgetParameters {
@@ -258,7 +259,7 @@
             slack: 10.0,
             window: Duration::from_secs(10),
             used_share: 0.85,
-            settling: Duration::from_secs(3),
+            settling_windows: 1.05,
         }
     }
 }
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -144,7 +144,7 @@
     pub fn started() -> Self {
         let mut parameters = GatewayParameters::default();
         parameters.budget.ratio = 0.5;
-        parameters.budget.settling = Duration::ZERO;
+        parameters.budget.settling_windows = 0.0;
         let zone = ZoneName::new("zone");
         let region = RegionName::new("region");
         let gateway = Gateway::new(GatewaySetup {
@@ -254,7 +254,7 @@
         parameters.fit_processor(processor_share);
         parameters.budget.ratio = 0.5;
         parameters.budget.slack = 1_000.0;
-        parameters.budget.settling = Duration::ZERO;
+        parameters.budget.settling_windows = 0.0;
         let parameters = Box::new(parameters);
         self.event(GatewayEvent::Reconfigured { parameters });
         self.joined_by(peers);
