--- a/crates/thornbridge-core/src/gateway/exchange/caution.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/caution.rs
@@ -97,7 +97,8 @@
         };
         let server = scope.servers.get(record.carrier.server);
         if let (Some(fingerprint), Some(server)) = (fingerprint, server) {
-            scope.quarantine.crashed(scope.now, fingerprint, &server.id);
+            let run = server.run_id();
+            scope.quarantine.crashed(scope.now, fingerprint, &run);
         }
     }
 
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -235,7 +235,7 @@
             InstanceState::Ready => Availability::Ready,
             InstanceState::Draining => Availability::Draining,
         };
-        let known = self.by_id.get(&instance.id).copied();
+        let known = self.run_of(actions, instance, revision, origin);
         let key = known.unwrap_or_else(|| self.add(now, instance));
         let Some(server) = self.servers.get_mut(&key) else {
             return;
@@ -255,6 +255,35 @@
         self.close_idle_if_leaving(actions, key);
     }
 
+    /// The server of an entry, where it is known and has not started again since. The run before it holds
+    /// nothing any more: requests that wait for it go elsewhere, its connections and speeds are forgotten.
+    fn run_of(
+        &mut self,
+        actions: &mut VecDeque<GatewayAction>,
+        instance: &Instance,
+        revision: StoreRevision,
+        origin: ViewOrigin,
+    ) -> Option<ServerKey> {
+        let key = self.by_id.get(&instance.id).copied()?;
+        let server = self.servers.get_mut(&key)?;
+        if server.is_run(instance) {
+            return Some(key);
+        }
+        server.availability = Availability::Gone;
+        self.by_id.remove(&instance.id);
+        self.subset.invalidate(server.service);
+        actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
+            id: instance.id.clone(),
+            service: server.service_name.to_string(),
+            state: "started_again",
+            revision,
+            origin,
+        }));
+        self.close_idle_if_leaving(actions, key);
+        self.forget_if_over(key);
+        None
+    }
+
     /// An instance's entry is gone; it was there when the store last confirmed this node's views.
     pub(super) fn departed(
         &mut self,
@@ -378,7 +407,10 @@
             return;
         }
         let service = server.service;
-        self.by_id.remove(&server.id);
+        // Another run may have its identity by now.
+        if self.by_id.get(&server.id) == Some(&key) {
+            self.by_id.remove(&server.id);
+        }
         self.servers.remove(&key);
         self.services[service.0 as usize]
             .servers
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -94,6 +94,8 @@
 #[derive(Debug)]
 pub(in crate::gateway) struct Server {
     pub(in crate::gateway) id: BackEndId,
+    /// When its run started, in Unix milliseconds; 0 where it does not say.
+    born_ms: u64,
     pub(in crate::gateway) service: ServiceKey,
     pub(in crate::gateway) service_name: ServiceName,
     pub(in crate::gateway) address: SocketAddr,
@@ -134,6 +136,7 @@
     ) -> Self {
         Self {
             id: instance.id.clone(),
+            born_ms: instance.born_ms,
             service,
             service_name: instance.service.clone(),
             address: instance.address,
@@ -160,6 +163,20 @@
         }
     }
 
+    /// Whether an entry is of this run of the server. One that does not say when it started is.
+    pub(super) fn is_run(&self, instance: &Instance) -> bool {
+        let unknown = self.born_ms == 0 || instance.born_ms == 0;
+        unknown || self.born_ms == instance.born_ms
+    }
+
+    /// Identity of this run, which no other has.
+    pub(in crate::gateway) fn run_id(&self) -> BackEndId {
+        match self.born_ms {
+            0 => self.id.clone(),
+            born_ms => BackEndId::new(format!("{}@{born_ms}", self.id.as_str())),
+        }
+    }
+
     /// Whether it may get requests, if only as a last choice.
     pub(in crate::gateway) fn takes_requests(&self) -> bool {
         !self.evacuated && !self.is_leaving()
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod queues;
 mod registries;
+mod restarts;
 mod routing;
 mod scarcity;
 mod silences;
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -52,6 +52,8 @@
     /// Relayed requests that were released.
     pub released: Vec<CallerId>,
     pub closed: Vec<ConnectionId>,
+    /// Where connections were opened to, in order.
+    pub opened: Vec<SocketAddr>,
     /// Connections that were opened and not closed since.
     pub open: Vec<ConnectionId>,
     /// Connections that their server resets a moment after they opened.
@@ -75,6 +77,7 @@
 
 pub fn instance(id: &str, service: &str, state: InstanceState) -> Instance {
     Instance {
+        born_ms: 0,
         id: BackEndId::new(id),
         service: ServiceName::new(service),
         address: SocketAddr::from(([10, 0, 0, 1], 80)),
@@ -172,6 +175,7 @@
             slice_messages: Vec::new(),
             released: Vec::new(),
             closed: Vec::new(),
+            opened: Vec::new(),
             open: Vec::new(),
             refusals_left: 0,
             timers: 0,
@@ -204,7 +208,11 @@
 
     fn carry_out(&mut self, action: GatewayAction) {
         match action {
-            GatewayAction::Open { connection, .. } => {
+            GatewayAction::Open {
+                connection,
+                address,
+            } => {
+                self.opened.push(address);
                 let took = millis(1);
                 self.open.push(connection);
                 self.event(GatewayEvent::ConnectionOpened { connection, took });
--- a/crates/thornbridge-proto/src/peer/view.rs
+++ b/crates/thornbridge-proto/src/peer/view.rs
@@ -29,8 +29,10 @@
 /// One run of a server, as it registered itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
-    /// Identity of this run; never used again.
+    /// Identity; a server that starts again may have the one that it had.
     pub id: BackEndId,
+    /// When this run of it started, in Unix milliseconds; 0 where it does not say.
+    pub born_ms: u64,
     /// Service that it serves.
     pub service: ServiceName,
     /// Where it listens.
--- a/crates/thornbridge-rehearsal/src/gateway/server.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/server.rs
@@ -98,6 +98,7 @@
 
     pub(super) fn instance(&self) -> Instance {
         Instance {
+            born_ms: 0,
             id: self.id.clone(),
             service: self.service.clone(),
             address: self.address,
