--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod opening;
 mod queue;
+mod registering;
 mod scarcity;
 mod server;
 mod subset;
@@ -23,7 +24,6 @@
 use super::action::GatewayAction;
 
 use super::budget::ServiceKey;
-use super::notes::{GatewayChange, ViewOrigin};
 use super::parameters::ServerParameters;
 use super::slices::Ownership;
 use super::window::MaximumWindow;
@@ -35,7 +35,6 @@
 use std::time::Duration;
 use subset::Subset;
 use thornbridge_config::routes::RoutedService;
-use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
 use thornbridge_proto::{BackEndId, RegionName, ServiceName, ZoneName};
 
 /// Steps in which the highest number of members is remembered.
@@ -222,106 +221,6 @@
         servers.filter(|server| server.takes_requests()).count()
     }
 
-    /// An instance is registered, or its entry changed.
-    pub(super) fn present(
-        &mut self,
-        now: Timestamp,
-        actions: &mut VecDeque<GatewayAction>,
-        instance: &Instance,
-        revision: StoreRevision,
-        origin: ViewOrigin,
-    ) {
-        let availability = match instance.state {
-            InstanceState::Ready => Availability::Ready,
-            InstanceState::Draining => Availability::Draining,
-        };
-        let known = self.run_of(actions, instance, revision, origin);
-        let key = known.unwrap_or_else(|| self.add(now, instance));
-        let Some(server) = self.servers.get_mut(&key) else {
-            return;
-        };
-        if known.is_some() && server.availability == availability {
-            return;
-        }
-        server.availability = availability;
-        self.subset.invalidate(server.service);
-        actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
-            id: instance.id.clone(),
-            service: instance.service.to_string(),
-            state: availability.as_str(),
-            revision,
-            origin,
-        }));
-        self.close_idle_if_leaving(actions, key);
-    }
-
-    /// The server of an entry, where it is known and has not started again since. The run before it holds
-    /// nothing any more: requests that wait for it go elsewhere, its connections and speeds are forgotten.
-    fn run_of(
-        &mut self,
-        actions: &mut VecDeque<GatewayAction>,
-        instance: &Instance,
-        revision: StoreRevision,
-        origin: ViewOrigin,
-    ) -> Option<ServerKey> {
-        let key = self.by_id.get(&instance.id).copied()?;
-        let server = self.servers.get_mut(&key)?;
-        if server.is_run(instance) {
-            return Some(key);
-        }
-        server.availability = Availability::Gone;
-        self.by_id.remove(&instance.id);
-        self.subset.invalidate(server.service);
-        actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
-            id: instance.id.clone(),
-            service: server.service_name.to_string(),
-            state: "started_again",
-            revision,
-            origin,
-        }));
-        self.close_idle_if_leaving(actions, key);
-        self.forget_if_over(key);
-        None
-    }
-
-    /// An instance's entry is gone; it was there when the store last confirmed this node's views.
-    pub(super) fn departed(
-        &mut self,
-        now: Timestamp,
-        actions: &mut VecDeque<GatewayAction>,
-        id: &BackEndId,
-        revision: StoreRevision,
-        origin: ViewOrigin,
-        confirmed: Option<Timestamp>,
-    ) {
-        let Some(key) = self.by_id.get(id).copied() else {
-            return;
-        };
-        // It may have left long before this node heard of it.
-        let known = confirmed.unwrap_or(now) + self.parameters.vanished_unconfirmed;
-        let until = known.min(now + self.parameters.vanished_grace);
-        let Some(server) = self.servers.get_mut(&key) else {
-            return;
-        };
-        server.availability = match server.availability {
-            Availability::Ready => Availability::Vanished { until },
-            Availability::Vanished { .. } => return,
-            Availability::Draining | Availability::Gone => Availability::Gone,
-        };
-        self.subset.invalidate(server.service);
-        let service = server.service_name.to_string();
-        let state = server.availability.as_str();
-        actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
-            id: id.clone(),
-            service,
-            state,
-            revision,
-            origin,
-        }));
-        self.close_idle_if_leaving(actions, key);
-        self.forget_if_over(key);
-    }
-
     /// The servers of a zone are to get nothing, or may get requests again: cold then, since they had
     /// none. Gives how many there are.
     pub(super) fn set_evacuated(
@@ -380,20 +279,6 @@
         }
     }
 
-    fn add(&mut self, now: Timestamp, instance: &Instance) -> ServerKey {
-        let service = self.service(&instance.service);
-        let key = ServerKey(self.next_key);
-        self.next_key += 1;
-        let distance = self.placement.distance_to(&instance.zone);
-        let mut server = Server::new(now, instance, service, distance);
-        server.evacuated = self.evacuated.contains(&instance.zone);
-        self.servers.insert(key, server);
-        self.by_id.insert(instance.id.clone(), key);
-        self.services[service.0 as usize].servers.push(key);
-        self.subset.invalidate(service);
-        key
-    }
-
     /// Forgets a server that is gone once nothing of it is left.
     pub(super) fn forget_if_over(&mut self, key: ServerKey) {
         let Some(server) = self.servers.get(&key) else {
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/servers/registering.rs
@@ -0,0 +1,126 @@
+//! Instances that register, start again under their identity, leave or vanish.
+
+use super::server::{Availability, Server};
+use super::{ServerKey, Servers};
+use crate::gateway::action::GatewayAction;
+use crate::gateway::notes::{GatewayChange, ViewOrigin};
+use crate::time::Timestamp;
+use std::collections::VecDeque;
+use thornbridge_proto::BackEndId;
+use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
+
+impl Servers {
+    /// An instance is registered, or its entry changed.
+    pub(in crate::gateway) fn present(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        instance: &Instance,
+        revision: StoreRevision,
+        origin: ViewOrigin,
+    ) {
+        let availability = match instance.state {
+            InstanceState::Ready => Availability::Ready,
+            InstanceState::Draining => Availability::Draining,
+        };
+        let known = self.run_of(actions, instance, revision, origin);
+        let key = known.unwrap_or_else(|| self.add(now, instance));
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        if known.is_some() && server.availability == availability {
+            return;
+        }
+        server.availability = availability;
+        self.subset.invalidate(server.service);
+        actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
+            id: instance.id.clone(),
+            service: instance.service.to_string(),
+            state: availability.as_str(),
+            revision,
+            origin,
+        }));
+        self.close_idle_if_leaving(actions, key);
+    }
+
+    /// The server of an entry, where it is known and has not started again since. The run before it holds
+    /// nothing any more: requests that wait for it go elsewhere, its connections and speeds are forgotten.
+    fn run_of(
+        &mut self,
+        actions: &mut VecDeque<GatewayAction>,
+        instance: &Instance,
+        revision: StoreRevision,
+        origin: ViewOrigin,
+    ) -> Option<ServerKey> {
+        let key = self.by_id.get(&instance.id).copied()?;
+        let server = self.servers.get_mut(&key)?;
+        if server.is_run(instance) {
+            return Some(key);
+        }
+        server.availability = Availability::Gone;
+        self.by_id.remove(&instance.id);
+        self.subset.invalidate(server.service);
+        actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
+            id: instance.id.clone(),
+            service: server.service_name.to_string(),
+            state: "started_again",
+            revision,
+            origin,
+        }));
+        self.close_idle_if_leaving(actions, key);
+        self.forget_if_over(key);
+        None
+    }
+
+    /// An instance's entry is gone; it was there when the store last confirmed this node's views.
+    pub(in crate::gateway) fn departed(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        id: &BackEndId,
+        revision: StoreRevision,
+        origin: ViewOrigin,
+        confirmed: Option<Timestamp>,
+    ) {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return;
+        };
+        // It may have left long before this node heard of it.
+        let known = confirmed.unwrap_or(now) + self.parameters.vanished_unconfirmed;
+        let until = known.min(now + self.parameters.vanished_grace);
+        let Some(server) = self.servers.get_mut(&key) else {
+            return;
+        };
+        server.availability = match server.availability {
+            Availability::Ready => Availability::Vanished { until },
+            Availability::Vanished { .. } => return,
+            Availability::Draining | Availability::Gone => Availability::Gone,
+        };
+        self.subset.invalidate(server.service);
+        let service = server.service_name.to_string();
+        let state = server.availability.as_str();
+        actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
+            id: id.clone(),
+            service,
+            state,
+            revision,
+            origin,
+        }));
+        self.close_idle_if_leaving(actions, key);
+        self.forget_if_over(key);
+    }
+
+    fn add(&mut self, now: Timestamp, instance: &Instance) -> ServerKey {
+        let service = self.service(&instance.service);
+        let key = ServerKey(self.next_key);
+        self.next_key += 1;
+        let distance = self.placement.distance_to(&instance.zone);
+        let mut server = Server::new(now, instance, service, distance);
+        server.evacuated = self.evacuated.contains(&instance.zone);
+        self.servers.insert(key, server);
+        self.by_id.insert(instance.id.clone(), key);
+        self.services[service.0 as usize].servers.push(key);
+        self.subset.invalidate(service);
+        key
+    }
+}
