An entry that became unusable takes its server away by the core's decision, not the adapter's

Read once more: the adapter for the store decided that a server whose entry cannot be used is gone. The store's next read comes 0.3 s after news: the test of entries of one start waits for it, since its second entry was not read before. The flag of the budget is named apart from the one that says that this node is no seed.

--- a/crates/thornbridge-core/src/gateway/budget.rs
+++ b/crates/thornbridge-core/src/gateway/budget.rs
@@ -52,10 +52,10 @@
 }
 
 impl ExtraAttemptBudget {
-    /// `joins_others`: whether other nodes are named to join through.
-    pub(super) fn new(parameters: BudgetParameters, joins_others: bool) -> Self {
+    /// `others_named`: whether other nodes are named to join through, also where this is one of them.
+    pub(super) fn new(parameters: BudgetParameters, others_named: bool) -> Self {
         Self {
-            sharers: match joins_others {
+            sharers: match others_named {
                 true => Sharers::Unknown,
                 false => Sharers::AtMost(1),
             },
--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -122,8 +122,10 @@
     EvacuationOver(ZoneName),
     /// An object that cannot be used; what is wrong with it.
     Unusable {
-        /// Its name.
+        /// Its name; empty where not even that can be read.
         name: String,
+        /// Revision of its last change; 0 where it cannot be read.
+        revision: StoreRevision,
         /// Why.
         reason: String,
     },
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -161,7 +161,7 @@
         let views = &parameters.views;
         let own_address = setup.endpoint.address;
         let joins_through_others = !setup.seeds.is_empty() && !setup.seeds.contains(&own_address);
-        let joins_others = setup.seeds.iter().any(|seed| *seed != own_address);
+        let others_named = setup.seeds.iter().any(|seed| *seed != own_address);
         let mut random = Pcg64Mcg::seed_from_u64(setup.seed);
         let first_slice = random.random();
         Self {
@@ -195,7 +195,7 @@
                 setup.placement,
                 setup.endpoint.address,
             ),
-            budget: ExtraAttemptBudget::new(parameters.budget.clone(), joins_others),
+            budget: ExtraAttemptBudget::new(parameters.budget.clone(), others_named),
             exchanges: Exchanges::new(parameters.exchange.clone()),
             quarantine: Quarantine::new(parameters.quarantine.clone()),
             awaiting: Awaiting::default(),
--- a/crates/thornbridge-core/src/gateway/tests/restarts.rs
+++ b/crates/thornbridge-core/src/gateway/tests/restarts.rs
@@ -1,4 +1,4 @@
-//! Servers that start again under the identity that they had.
+//! Servers that start again under the identity that they had, and entries that become unusable.
 
 use super::support::{Harness, answer, instance, millis, route, service};
 use crate::gateway::{ExchangeFailure, GatewayEvent, ViewKind, ViewObject};
@@ -66,7 +66,36 @@
     let mut harness = with_a_warm_server();
     harness.closed.clear();
     harness.changes(ViewKind::Registry, vec![entry(51, BORN_MS, 80)], 51);
+    harness.wait(millis(400));
     // One that does not say when it started is of the run that is known.
     harness.changes(ViewKind::Registry, vec![entry(52, 0, 80)], 52);
     assert!(harness.closed.is_empty());
 }
+
+fn unusable(revision: u64) -> ViewObject {
+    ViewObject::Unusable {
+        name: "i-1".to_owned(),
+        revision: StoreRevision(revision),
+        reason: "unknown state".to_owned(),
+    }
+}
+
+#[test]
+fn a_server_whose_entry_became_unusable_is_gone() {
+    let mut harness = with_a_warm_server();
+    assert_eq!(harness.gateway.instances(), 1);
+    harness.changes(ViewKind::Registry, vec![unusable(51)], 51);
+    assert_eq!(harness.gateway.instances(), 0);
+    // Its own entry comes back.
+    harness.wait(millis(400));
+    let again = vec![unusable(52), entry(53, BORN_MS, 80)];
+    harness.changes(ViewKind::Registry, again, 53);
+    assert_eq!(harness.gateway.instances(), 1);
+}
+
+#[test]
+fn an_object_that_says_nothing_of_itself_takes_no_server_away() {
+    let mut harness = with_a_warm_server();
+    harness.changes(ViewKind::Registry, vec![unusable(0)], 60);
+    assert_eq!(harness.gateway.instances(), 1);
+}
--- a/crates/thornbridge-core/src/gateway/viewing.rs
+++ b/crates/thornbridge-core/src/gateway/viewing.rs
@@ -11,6 +11,7 @@
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
 use std::time::Duration;
+use thornbridge_proto::BackEndId;
 use thornbridge_proto::peer::view::{StoreRevision, ViewDigest};
 
 /// Time after a start in which a node that joins through others leaves the store to them.
@@ -143,7 +144,7 @@
                 ViewObject::Configuration(configuration) => {
                     changed |= self.take_configuration(configuration, ViewOrigin::Store);
                 }
-                ViewObject::Unusable { name, reason } => self.object_refused(name, reason),
+                ViewObject::Unusable { name, reason, .. } => self.object_refused(name, reason),
                 ViewObject::Evacuated(zone) => {
                     evacuated.insert(zone);
                 }
@@ -222,7 +223,18 @@
                     zone,
                     evacuated: false,
                 }),
-                ViewObject::Unusable { name, reason } => self.object_refused(name, reason),
+                ViewObject::Unusable {
+                    name,
+                    revision,
+                    reason,
+                } => {
+                    // An instance whose entry became unusable is gone; another may have written it.
+                    if kind == ViewKind::Registry {
+                        let id = BackEndId::new(name.as_str());
+                        changes.extend(self.registry.departed(self.now, revision, at, &id));
+                    }
+                    self.object_refused(name, reason);
+                }
             }
         }
         if kind == ViewKind::Registry {
