Members: tables are compared by keys, and only lacking records are sent

An exchange of differing buckets sent whole records, 53 bytes a member, a quarter of the table at a time, though most of them were known. It now sends run, incarnation and state, 12 bytes, and the records that one side lacks are asked for. Ruled out: fewer copies of a record by gossip, which would leave more to the exchanges.

--- a/crates/thornbridge-core/src/membership/anti_entropy.rs
+++ b/crates/thornbridge-core/src/membership/anti_entropy.rs
@@ -1,18 +1,18 @@
 //! Repair of what gossip missed: two members compare digests, and exchange what differs.
 //!
 //! A table of 690 members is too big to send often. So a digest of the whole goes first, then,
-//! only where it differs, the digests of buckets, then the members of some buckets that differ.
-//! Suspicions pass and dead members are forgotten at different times, so a digest covers neither.
+//! only where it differs, the digests of buckets, then how the members of some buckets stand, and
+//! at last the records that one of the two lacks. Suspicions pass and dead members are forgotten at different times, so a digest covers neither.
 
 use super::{Membership, send};
 use crate::context::Context;
 use crate::gossip::differing_buckets;
 use rand::seq::IndexedRandom;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use thornbridge_proto::NodeId;
 use thornbridge_proto::peer::PeerEndpoint;
 use thornbridge_proto::peer::membership::{
-    MEMBER_BUCKETS, MemberBatch, MemberRecord, MemberState, MembershipMessage,
+    MEMBER_BUCKETS, MemberBatch, MemberKey, MemberRecord, MemberState, MembershipMessage,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -61,35 +61,57 @@
         }
         let limit = self.parameters.sync_buckets;
         let buckets = differing_buckets(&self.bucket_digests(), digests, limit, context.random);
-        let batch = MemberBatch::pack(self.in_buckets(&buckets));
-        self.send_batch(context, from, MembershipMessage::Buckets { buckets, batch });
+        let keys = self.in_buckets(&buckets).map(key_of).collect();
+        self.send_repair(context, from, MembershipMessage::Buckets { buckets, keys });
     }
 
-    /// A peer's members in some buckets: takes them, and answers with what is newer here.
+    /// How a peer's members in some buckets stand: takes that, answers with what is newer here, and
+    /// asks for the records that are lacking.
     pub(super) fn take_buckets(
         &mut self,
         context: &mut Context<'_>,
         from: PeerEndpoint,
         buckets: &[u8],
-        batch: MemberBatch,
+        keys: &[MemberKey],
     ) {
-        let theirs: BTreeMap<NodeId, MemberRecord> = batch
-            .unpack()
-            .into_iter()
-            .map(|record| (record.endpoint.node, record))
-            .collect();
+        let theirs: BTreeMap<NodeId, MemberKey> = keys.iter().map(|key| (key.node, *key)).collect();
         let newer = self.newer_than(buckets, &theirs);
         if !newer.is_empty() {
             let batch = MemberBatch::pack(&newer);
-            self.send_batch(context, from, MembershipMessage::Newer { batch });
+            self.send_repair(context, from, MembershipMessage::Newer { batch });
+        }
+        let own = self.own.endpoint.node;
+        let known = |node: NodeId| node == own || self.table.get(node).is_some();
+        let lacking = keys.iter().map(|key| key.node);
+        let nodes: Vec<NodeId> = lacking.filter(|node| !known(*node)).collect();
+        if !nodes.is_empty() {
+            send(context, from.address, MembershipMessage::Wanted { nodes });
+        }
+        for key in keys {
+            self.take_state(context, key.node, key.incarnation, key.state);
+        }
+    }
+
+    /// A peer lacks the records of these members.
+    pub(super) fn wanted(
+        &mut self,
+        context: &mut Context<'_>,
+        from: PeerEndpoint,
+        nodes: &[NodeId],
+    ) {
+        let wanted: BTreeSet<NodeId> = nodes.iter().copied().collect();
+        let records = self.present_with_own();
+        let records = records.filter(|record| wanted.contains(&record.endpoint.node));
+        let batch = MemberBatch::pack(records);
+        if !batch.members.is_empty() {
+            self.send_repair(context, from, MembershipMessage::Newer { batch });
         }
-        self.take_batch(context, theirs.into_values());
     }
 
     fn newer_than(
         &self,
         buckets: &[u8],
-        theirs: &BTreeMap<NodeId, MemberRecord>,
+        theirs: &BTreeMap<NodeId, MemberKey>,
     ) -> Vec<MemberRecord> {
         let dead_here = self
             .table
@@ -108,7 +130,7 @@
             .collect()
     }
 
-    fn send_batch(
+    fn send_repair(
         &mut self,
         context: &mut Context<'_>,
         to: PeerEndpoint,
@@ -142,6 +164,14 @@
     }
 }
 
+fn key_of(record: &MemberRecord) -> MemberKey {
+    MemberKey {
+        node: record.endpoint.node,
+        incarnation: record.incarnation,
+        state: record.state,
+    }
+}
+
 fn xor(left: u64, right: u64) -> u64 {
     left ^ right
 }
--- a/crates/thornbridge-core/src/membership/mod.rs
+++ b/crates/thornbridge-core/src/membership/mod.rs
@@ -200,9 +200,10 @@
             MembershipMessage::BucketDigests { digests } => {
                 self.take_bucket_digests(context, from, &digests);
             }
-            MembershipMessage::Buckets { buckets, batch } => {
-                self.take_buckets(context, from, &buckets, batch);
+            MembershipMessage::Buckets { buckets, keys } => {
+                self.take_buckets(context, from, &buckets, &keys);
             }
+            MembershipMessage::Wanted { nodes } => self.wanted(context, from, &nodes),
             MembershipMessage::Newer { batch } => self.take_batch(context, batch.unpack()),
             MembershipMessage::IntroductionRequest => {
                 let member = self.own.clone();
--- a/crates/thornbridge-core/src/membership/updates.rs
+++ b/crates/thornbridge-core/src/membership/updates.rs
@@ -97,7 +97,7 @@
         }
     }
 
-    fn take_state(
+    pub(super) fn take_state(
         &mut self,
         context: &mut Context<'_>,
         node: NodeId,
--- a/crates/thornbridge-proto/src/peer/membership.rs
+++ b/crates/thornbridge-proto/src/peer/membership.rs
@@ -185,6 +185,17 @@
     }
 }
 
+/// How a member stands, as short as tables are compared by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberKey {
+    /// Run.
+    pub node: NodeId,
+    /// Incarnation.
+    pub incarnation: Incarnation,
+    /// State at that incarnation.
+    pub state: MemberState,
+}
+
 /// News of one member, as small as it can be told.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberUpdate {
@@ -290,15 +301,22 @@
         /// One for each of [`MEMBER_BUCKETS`].
         digests: Vec<u64>,
     },
-    /// What the sender has in buckets that differ.
+    /// Which members the sender has in buckets that differ.
     #[serde(rename = "k")]
     Buckets {
         /// Which buckets.
         buckets: Vec<u8>,
         /// Its members in them that are not dead.
-        batch: MemberBatch,
+        keys: Vec<MemberKey>,
+    },
+    /// Members of the receiver's buckets that the sender does not know.
+    #[serde(rename = "w")]
+    Wanted {
+        /// The members.
+        nodes: Vec<NodeId>,
     },
-    /// Members of which the sender knows something newer than the receiver's buckets said.
+    /// Members that the receiver wanted, or of which the sender knows something newer than the
+    /// receiver's buckets said.
     #[serde(rename = "n")]
     Newer {
         /// The members, dead ones too.
