--- a/crates/thornbridge-rehearsal/src/gateway/report.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/report.rs
@@ -3,6 +3,7 @@
 use super::network::Span;
 use super::oracle::Broken;
 use std::collections::BTreeMap;
+use std::time::Duration;
 use thornbridge_proto::frame;
 use thornbridge_proto::peer::PeerMessage;
 use thornbridge_proto::peer::view::ViewMessage;
@@ -76,6 +77,10 @@
     pub peer_messages: u64,
     /// Bytes of messages between nodes, as they are encoded.
     pub peer_bytes: BTreeMap<(Span, PeerTopic), u64>,
+    /// Longest time from a version's acknowledgement until a node had it in force.
+    pub longest_in_force: Duration,
+    /// Longest time from the moment that a server said it leaves until a node knew.
+    pub longest_leaving_known: Duration,
     /// Rules that were broken.
     pub broken: Vec<Broken>,
     /// Requests served, by the second of their first try.
--- a/crates/thornbridge-rehearsal/src/gateway/scenario.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/scenario.rs
@@ -1,6 +1,6 @@
 //! What a run is made of.
 
-use super::fault::TimedFault;
+use super::fault::{GatewayFault, TimedFault};
 use super::network::Span;
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
@@ -165,7 +165,7 @@
     }
 
     /// So many nodes in six zones of three regions, started within 0.3 s, over servers of which each
-    /// node needs few; without callers.
+    /// node needs few; without callers. A version follows, and a server that leaves.
     pub fn whole_fleet(seed: u64, nodes: u32) -> Self {
         let mut scenario = Self::small_teams(seed);
         scenario.nodes = vec![nodes / 6; 6];
@@ -175,8 +175,16 @@
         scenario.connections = 195;
         scenario.plain_servers = 24;
         scenario.loads.clear();
-        scenario.length = Duration::from_secs(4);
+        scenario.length = Duration::from_secs(6);
         scenario.parameters.fit_processor(0.12);
+        let replace = GatewayFault::Replace {
+            server: 0,
+            silent: false,
+        };
+        scenario.faults = vec![
+            TimedFault::at(1.0, GatewayFault::NewVersion),
+            TimedFault::at(2.0, replace),
+        ];
         scenario
     }
 
--- a/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
@@ -13,11 +13,11 @@
     GatewayAction, GatewayAnswer, GatewayChange, GatewayEvent, RefusalReason, RequestHead,
 };
 use thornbridge_core::{CallerId, ConnectionId, Timestamp};
-use thornbridge_proto::ServiceName;
 use thornbridge_proto::byte_string::SharedBytes;
 use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::PeerMessage;
 use thornbridge_proto::peer::slice::SliceMessage;
+use thornbridge_proto::{BackEndId, ServiceName};
 
 /// Time until a connection to a silent machine is given up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -97,6 +97,9 @@
             GatewayAction::Changed(GatewayChange::ConfigurationInForce { version, .. }) => {
                 self.in_force(node, version.0);
             }
+            GatewayAction::Changed(GatewayChange::Instance { id, state, .. }) => {
+                self.instance_known(&id, state);
+            }
             GatewayAction::SetLimits { .. }
             | GatewayAction::Finished(_)
             | GatewayAction::Changed(_) => {}
@@ -117,6 +120,24 @@
             self.oracle.breaks(Rule::GoesBack, detail);
         }
         self.machines[node].version_seen = version;
+        let mut acknowledged = self.acknowledged.iter();
+        let found = acknowledged.find(|(_, acknowledged)| *acknowledged == version);
+        let started = self.machines[node].started;
+        // Nodes that start learn what is there already.
+        let later = found.filter(|(at, _)| *at > started);
+        let took = later.map_or(Duration::ZERO, |(at, _)| self.now.since(*at));
+        let longest = &mut self.report.longest_in_force;
+        *longest = took.max(*longest);
+    }
+
+    fn instance_known(&mut self, id: &BackEndId, state: &str) {
+        let mut servers = self.servers.iter();
+        let server = servers.find(|server| server.id == *id);
+        let leaving = server.and_then(|server| server.leaving_since);
+        if let Some(since) = leaving.filter(|_| state == "draining") {
+            let longest = &mut self.report.longest_leaving_known;
+            *longest = self.now.since(since).max(*longest);
+        }
     }
 
     fn open(&mut self, node: usize, life: u32, connection: ConnectionId, address: SocketAddr) {
