Extra attempts of divided gathers: coordinators lend owners theirs

A coordinator now pays for the open shards of a slice with its own share when it grants attempts, two a shard at most, to be made within a second; an owner without budget asks at once. Shares add up as before, since the lender counts. A share of less than one is drawn, so few that the sum stays four deviations below the slack.

Ruled out: dividing the slack by the owners that a node believes there are; after a change of members old and new owners would both use it within a window, and nodes that do not divide gathers would go short.

--- a/crates/thornbridge-core/src/gateway/budget.rs
+++ b/crates/thornbridge-core/src/gateway/budget.rs
@@ -12,6 +12,9 @@
 //! - In its first window a process uses no share, and of what its requests earn only what the process
 //!   before it left: that one may have used its part up to its last moment.
 //!
+//! A share of less than one attempt is drawn, so that a slack of fewer attempts than nodes is used at
+//! all: some nodes have one, so few that the sum holds.
+//!
 //! Without these, 67 processes made up to 2,116 extra attempts at a shard in ten seconds where 688
 //! were allowed, as its servers counted them while the nodes that others join through were away; and
 //! 648 where 619 were, when all were killed together.
@@ -20,11 +23,15 @@
 use super::window::SumWindow;
 use crate::time::Timestamp;
 use std::collections::BTreeMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Position of a service in the table of services.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(super) struct ServiceKey(pub(super) u32);
 
+/// Standard deviations by which the sum of all nodes' draws stays below the slack.
+const DRAW_DEVIATIONS: f64 = 4.0;
+
 /// Steps that a window is counted in.
 const WINDOW_STEPS: u32 = 40;
 
@@ -49,12 +56,15 @@
     parameters: BudgetParameters,
     sharers: Sharers,
     services: BTreeMap<ServiceKey, ServiceBudget>,
+    /// What this process draws its shares by.
+    seed: u64,
 }
 
 impl ExtraAttemptBudget {
     /// `others_named`: whether other nodes are named to join through, also where this is one of them.
-    pub(super) fn new(parameters: BudgetParameters, others_named: bool) -> Self {
+    pub(super) fn new(parameters: BudgetParameters, others_named: bool, seed: u64) -> Self {
         Self {
+            seed,
             sharers: match others_named {
                 true => Sharers::Unknown,
                 false => Sharers::AtMost(1),
@@ -97,6 +107,21 @@
         }
     }
 
+    /// Extra attempts of a window that this node may use of the slack, beside those that requests
+    /// earn.
+    fn slack_allowance(&self, service: ServiceKey) -> f64 {
+        let share = self.parameters.used_share * self.slack_share();
+        if share >= 1.0 {
+            return share;
+        }
+        let members = self.sharers().unwrap_or(1) as f64;
+        let deviation = (share * (1.0 - share) / members).sqrt();
+        let chance = share - DRAW_DEVIATIONS * deviation;
+        let drawn = xxh3_64_with_seed(&service.0.to_le_bytes(), self.seed);
+        let draw = drawn as f64 / u64::MAX as f64;
+        f64::from(u8::from(draw < chance))
+    }
+
     /// Whether attempts of a process before this one may count yet.
     fn is_settling(&self, now: Timestamp) -> bool {
         let settled = self.parameters.settling_windows;
@@ -111,14 +136,14 @@
     /// Whether an extra attempt is allowed now.
     pub(super) fn allows(&mut self, now: Timestamp, service: ServiceKey) -> bool {
         let settling = self.is_settling(now);
-        let slack = self.slack_share();
+        let slack = self.slack_allowance(service);
         let (ratio, used) = (self.parameters.ratio, self.parameters.used_share);
         let budget = self.budget(service);
         let earned = ratio * budget.requests.sum(now) as f64;
         let extra = budget.extra.sum(now) as f64;
         let most = match settling {
             true => (1.0 - used) * earned,
-            false => used * (earned + slack),
+            false => used * earned + slack,
         };
         extra + 1.0 <= most
     }
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -121,11 +121,14 @@
     /// request with nothing under way is over, unless its caller does not come back.
     fn pay(&mut self, scope: &mut Scope<'_>, request: &mut Request, index: usize) -> bool {
         let leg = &mut request.legs[index];
-        if leg.paid || scope.budget.try_take(scope.now, leg.service) {
+        let paid = leg.paid || leg.take_lent(scope.now);
+        if paid || scope.budget.try_take(scope.now, leg.service) {
             leg.paid = true;
             return true;
         }
         request.denied += 1;
+        // Its coordinator may lend one.
+        request.request_grant();
         let waits = request.is_gather() || request.is_last_try();
         let leg = &mut request.legs[index];
         leg.denied = true;
--- a/crates/thornbridge-core/src/gateway/exchange/leg.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/leg.rs
@@ -6,9 +6,14 @@
 use crate::gateway::servers::ServerKey;
 use crate::time::Timestamp;
 use bytes::Bytes;
+use std::time::Duration;
 use thornbridge_proto::AttemptId;
 use thornbridge_proto::peer::slice::ShardFailure;
 
+/// Time within which a lent attempt is to be made: its lender counted it when it lent it, and the
+/// window that it counts in must hold it.
+const LENT_FOR: Duration = Duration::from_secs(1);
+
 /// How a part stands.
 #[derive(Debug)]
 pub(super) enum LegState {
@@ -51,6 +56,9 @@
     pub(super) failed_reply: Option<Box<ServerReply>>,
     /// Whether an extra attempt was taken from the budget and not sent yet.
     pub(super) paid: bool,
+    /// Extra attempts that its coordinator paid for, and until when they may be made.
+    lent: u32,
+    lent_until: Timestamp,
     /// Whether the budget once denied it an attempt.
     pub(super) denied: bool,
     /// Attempts that other nodes may have made.
@@ -74,6 +82,8 @@
             failure: None,
             failed_reply: None,
             paid: false,
+            lent: 0,
+            lent_until: Timestamp::ZERO,
             denied: false,
             prior: 0,
             rejected_elsewhere: false,
@@ -113,6 +123,25 @@
         }
     }
 
+    /// Its coordinator paid for one more extra attempt.
+    pub(super) fn lend(&mut self, now: Timestamp) {
+        self.lent += 1;
+        self.lent_until = now + LENT_FOR;
+    }
+
+    /// Whether an extra attempt of it is paid for by its coordinator.
+    pub(super) fn has_lent(&self, now: Timestamp) -> bool {
+        self.lent > 0 && now <= self.lent_until
+    }
+
+    /// Uses one of these; `false` where there is none.
+    #[must_use]
+    pub(super) fn take_lent(&mut self, now: Timestamp) -> bool {
+        let may = self.has_lent(now);
+        self.lent -= u32::from(may);
+        may
+    }
+
     /// Servers on which it ran or may have run.
     pub(super) fn ran(&self) -> u32 {
         self.prior + self.sent - self.not_run
--- a/crates/thornbridge-core/src/gateway/exchange/owning.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/owning.rs
@@ -206,6 +206,7 @@
         coordinator: SocketAddr,
         slice: SliceId,
         attempts: u32,
+        lent: &[u16],
     ) {
         let Some(caller) = self.served.get(&(coordinator, slice)).copied() else {
             return;
@@ -217,6 +218,11 @@
             coordinator.grant = GrantState::Settled;
         }
         request.attempts = request.attempts.max(attempts);
+        for place in lent {
+            if let Some(leg) = request.legs.get_mut(usize::from(*place)) {
+                leg.lend(scope.now);
+            }
+        }
         for index in 0..request.legs.len() {
             let may_send = self.may_send_more(&request, index);
             request.legs[index].grant_settled(scope.now, may_send);
--- a/crates/thornbridge-core/src/gateway/exchange/reports.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/reports.rs
@@ -10,6 +10,10 @@
 use std::time::Duration;
 use thornbridge_proto::peer::slice::{SliceId, SliceMessage, SliceReport};
 
+/// Extra attempts that are lent for one shard of a slice at most: a rejected attempt may be rejected
+/// again.
+const MOST_LENT: usize = 2;
+
 /// Where a report comes from, and whose slice it is about.
 struct Sender {
     owner: SocketAddr,
@@ -110,8 +114,37 @@
         false => 1,
     };
     slice.granted += attempts - 1;
-    let slice = sender.id;
-    send_message(scope, sender.owner, SliceMessage::Grant { slice, attempts });
+    let lent = match attempts {
+        1 => Vec::new(),
+        _ => lend_attempts(scope, request, sender.index),
+    };
+    let grant = SliceMessage::Grant {
+        slice: sender.id,
+        attempts,
+        lent,
+    };
+    send_message(scope, sender.owner, grant);
+}
+
+/// Pays extra attempts for the shards of a slice that are open, out of this node's budget. The slack
+/// is divided by all nodes, and only the owners of a shard need it: it comes to them with the
+/// requests, and the shares still add up.
+fn lend_attempts(scope: &mut Scope<'_>, request: &Request, index: usize) -> Vec<u16> {
+    let mut lent = Vec::new();
+    for (place, leg) in request.legs[request.slices[index].shards()]
+        .iter()
+        .enumerate()
+    {
+        let Ok(place) = u16::try_from(place) else {
+            break;
+        };
+        for _ in 0..MOST_LENT {
+            if leg.is_delegated() && scope.budget.try_take(scope.now, leg.service) {
+                lent.push(place);
+            }
+        }
+    }
+    lent
 }
 
 /// Takes a report's shards over.
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -299,8 +299,12 @@
             SliceMessage::ReportAndRequest { slice, report } => {
                 exchanges.slice_reported(&mut scope, peer, slice, report, true);
             }
-            SliceMessage::Grant { slice, attempts } => {
-                exchanges.attempts_granted(&mut scope, peer, slice, attempts);
+            SliceMessage::Grant {
+                slice,
+                attempts,
+                lent,
+            } => {
+                exchanges.attempts_granted(&mut scope, peer, slice, attempts, &lent);
             }
             SliceMessage::Stop { slice, reason } => {
                 exchanges.slice_stopped(&mut scope, peer, slice, reason);
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -197,7 +197,7 @@
                 setup.placement,
                 setup.endpoint.address,
             ),
-            budget: ExtraAttemptBudget::new(parameters.budget.clone(), others_named),
+            budget: ExtraAttemptBudget::new(parameters.budget.clone(), others_named, setup.seed),
             exchanges: Exchanges::new(parameters.exchange.clone()),
             quarantine: Quarantine::new(parameters.quarantine.clone()),
             awaiting: Awaiting::default(),
--- a/crates/thornbridge-core/src/gateway/tests/budgets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/budgets.rs
@@ -49,12 +49,12 @@
 
 /// A member that has just started.
 fn starting(started: Timestamp) -> (ExtraAttemptBudget, Timestamp) {
-    (ExtraAttemptBudget::new(parameters(), true), started)
+    (ExtraAttemptBudget::new(parameters(), true, 1), started)
 }
 
 /// A member that knows so many since its start.
 fn knowing(members: usize) -> ExtraAttemptBudget {
-    let mut budget = ExtraAttemptBudget::new(parameters(), true);
+    let mut budget = ExtraAttemptBudget::new(parameters(), true, 1);
     budget.set_members(members);
     budget
 }
@@ -135,7 +135,7 @@
 
 #[test]
 fn a_member_that_met_nobody_uses_no_share_of_the_slack() {
-    let mut alone = ExtraAttemptBudget::new(parameters(), true);
+    let mut alone = ExtraAttemptBudget::new(parameters(), true, 1);
     alone.set_members(1);
     assert_eq!(taken(&mut alone, WINDOW * 100), 0);
     alone.set_members(8);
@@ -144,7 +144,7 @@
 
 #[test]
 fn a_node_that_joins_nobody_uses_all_of_the_slack() {
-    let mut only = ExtraAttemptBudget::new(parameters(), false);
+    let mut only = ExtraAttemptBudget::new(parameters(), false, 1);
     assert_eq!(taken(&mut only, WINDOW * 2), 47);
 }
 
@@ -189,3 +189,28 @@
         "{spent_before} before, {spent_since} since, {allowed} allowed"
     );
 }
+
+/// What users saw: with a slack of 1,040 attempts for 985 nodes each node's share was less than one, and
+/// none of it was used.
+#[test]
+fn a_slack_of_about_one_attempt_a_node_is_used_and_its_sum_holds() {
+    let later = Timestamp::ZERO + Duration::from_secs(60);
+    for (nodes, slack) in [(985, 1_040.0), (985, 400.0), (120, 60.0)] {
+        for service in 0..20 {
+            let mut used = 0;
+            for seed in 0..nodes {
+                let parameters = BudgetParameters {
+                    slack,
+                    ..parameters()
+                };
+                let mut budget = ExtraAttemptBudget::new(parameters, true, seed);
+                budget.set_members(nodes as usize);
+                while budget.try_take(later, ServiceKey(service)) {
+                    used += 1;
+                }
+            }
+            assert!(f64::from(used) <= slack, "{used} of {slack}");
+            assert!(f64::from(used) >= slack * 0.25, "{used} of {slack}");
+        }
+    }
+}
--- a/crates/thornbridge-core/src/gateway/tests/grants.rs
+++ b/crates/thornbridge-core/src/gateway/tests/grants.rs
@@ -2,8 +2,8 @@
 //! route allows, and a silent owner costs no answer.
 
 use super::slice_support::{
-    SMALL_SHARE, ask_slice, grant, grants, missing, node, report, report_all, report_and_request,
-    report_of, reports, task,
+    SMALL_SHARE, ask_slice, grant, grant_lending, grants, missing, node, report, report_all,
+    report_and_request, report_of, reports, task,
 };
 use super::support::{Harness, answer, answer_all, millis, peer, verdict};
 use crate::driver_action::CallerId;
@@ -314,6 +314,66 @@
     assert!(last.finished && last.failed.is_empty());
 }
 
+/// An owner without a budget of its own, whose only attempt a server rejected.
+fn rejected_without_budget() -> Harness {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, first_task(&["shard-1", "shard-2"]));
+    harness.without_budget();
+    harness.reply(harness.sent[0].attempt, verdict(ReplyVerdict::NotRun));
+    assert_eq!(harness.sent.len(), 2);
+    harness
+}
+
+/// What users saw: where servers rejected six in ten parts, owners had used up their shares of the slack
+/// while those of all other nodes lay idle, and full searches ran into their deadline.
+#[test]
+fn an_attempt_that_the_coordinator_lends_is_made_where_the_owner_has_no_budget() {
+    let mut harness = rejected_without_budget();
+    assert!(!reports(&harness).is_empty(), "it asks at once");
+    grant_lending(&mut harness, 2, vec![0]);
+    harness.wait(millis(50));
+    assert_eq!(harness.sent.len(), 3);
+    harness.reply(harness.sent[2].attempt, verdict(ReplyVerdict::NotRun));
+    harness.wait(millis(50));
+    assert_eq!(harness.sent.len(), 3, "one was lent");
+}
+
+#[test]
+fn a_lent_attempt_is_made_soon_or_not_at_all() {
+    let mut harness = node(SMALL_SHARE);
+    ask_slice(&mut harness, first_task(&["shard-1"]));
+    harness.without_budget();
+    grant_lending(&mut harness, 2, vec![0]);
+    harness.now = harness.now + millis(1_100);
+    harness.reply(harness.sent[0].attempt, verdict(ReplyVerdict::NotRun));
+    harness.wait(millis(50));
+    assert_eq!(harness.sent.len(), 1);
+}
+
+#[test]
+fn a_coordinator_lends_no_more_than_its_budget_holds() {
+    let lent_of = |harness: &Harness| -> usize {
+        let messages = harness.slice_messages.iter();
+        let lent = messages.filter_map(|(_, message)| match message {
+            SliceMessage::Grant { lent, .. } => Some(lent.len()),
+            _ => None,
+        });
+        lent.sum()
+    };
+    let mut harness = node(SMALL_SHARE);
+    harness.ask("/search/1");
+    let (owner, task) = harness.tasks[0].clone();
+    report_and_request(&mut harness, owner, &task, empty_report());
+    assert_eq!(lent_of(&harness), 2 * task.shards.len());
+
+    let mut harness = node(SMALL_SHARE);
+    harness.without_budget();
+    harness.ask("/search/1");
+    let (owner, task) = harness.tasks[0].clone();
+    report_and_request(&mut harness, owner, &task, empty_report());
+    assert_eq!(lent_of(&harness), 0);
+}
+
 #[test]
 fn an_owner_tells_what_servers_rejected_from_what_reached_none() {
     let mut harness = node(SMALL_SHARE);
--- a/crates/thornbridge-core/src/gateway/tests/slice_support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/slice_support.rs
@@ -152,6 +152,7 @@
         SliceMessage::Grant {
             slice: id,
             attempts,
+            ..
         } if *id == slice => Some(*attempts),
         _ => None,
     });
@@ -160,6 +161,15 @@
 
 /// A coordinator grants this many attempts for each shard of the slice of [`task`].
 pub fn grant(harness: &mut Harness, attempts: u32) {
-    let slice = SliceId(7);
-    harness.slice_message(peer(1), SliceMessage::Grant { slice, attempts });
+    grant_lending(harness, attempts, Vec::new());
+}
+
+/// The same, with extra attempts that it pays for: shards by their place.
+pub fn grant_lending(harness: &mut Harness, attempts: u32, lent: Vec<u16>) {
+    let grant = SliceMessage::Grant {
+        slice: SliceId(7),
+        attempts,
+        lent,
+    };
+    harness.slice_message(peer(1), grant);
 }
--- a/crates/thornbridge-proto/src/peer/slice.rs
+++ b/crates/thornbridge-proto/src/peer/slice.rs
@@ -137,6 +137,9 @@
         slice: SliceId,
         /// Attempts that the owner may make for each shard, the first included.
         attempts: u32,
+        /// Shards, by their place in the task, for each of which the coordinator pays one extra
+        /// attempt out of its own budget; a shard may be named more than once.
+        lent: Vec<u16>,
     },
     /// From a coordinator to an owner.
     #[serde(rename = "s")]
