Servers that reject a share of their requests are remembered for longer

A rejection cost a server 20 ms with a half-life of 1 s, and an owner asks a shard about once a second, so that it met the same servers again and again. Each server now has a share of its latest answers that were rejections (weight 0.3, half-life 5 s); a server that rejects all costs 60 ms.

--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -266,6 +266,8 @@
         if let Some(load) = reply.load {
             server.loaded(now, load);
         }
+        let rejected = outcome == AttemptOutcome::NotRun;
+        server.observe_rejection(&parameters, now, rejected);
         match outcome {
             AttemptOutcome::Answered => {
                 let work = took.saturating_sub(server.round_trip());
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -94,6 +94,14 @@
     pub unreachable_cost: Duration,
     /// Half-life of these costs.
     pub failure_half_life: Duration,
+    /// Cost of a server that rejects all that it gets: an attempt of the few that a part has.
+    pub rejection_cost: Duration,
+    /// Weight of the newest answer in the share that a server rejects.
+    pub rejection_weight: f64,
+    /// Half-life of that share while nothing is sent to the server. Longer than other failures are
+    /// remembered: a server that works at a part of its requests may do so for long, and each node
+    /// meets it seldom.
+    pub rejection_half_life: Duration,
     /// An attempt this many times older than expected makes its server a poor choice.
     pub silence_factor: f64,
     /// The same, in time that is added.
@@ -152,6 +160,9 @@
             failure_cost: Duration::from_millis(40),
             unreachable_cost: Duration::from_millis(300),
             failure_half_life: Duration::from_millis(1_000),
+            rejection_cost: Duration::from_millis(60),
+            rejection_weight: 0.3,
+            rejection_half_life: Duration::from_secs(5),
             silence_factor: 2.0,
             silence_margin: Duration::from_millis(6),
             silence_cost: Duration::from_millis(60),
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -126,6 +126,8 @@
     speed: (f64, Timestamp),
     /// Cost of its failures in seconds, at a time.
     failures: (f64, Timestamp),
+    /// Share of its latest answers that were rejections, at a time.
+    rejections: (f64, Timestamp),
     load: Option<(ServerLoad, Timestamp)>,
 }
 
@@ -163,6 +165,7 @@
             round_trip: None,
             speed: (0.0, now),
             failures: (0.0, now),
+            rejections: (0.0, now),
             load: None,
         }
     }
@@ -293,6 +296,32 @@
         Duration::from_secs_f64(cost * half_life(now.since(at), parameters.failure_half_life))
     }
 
+    /// It took a request, or rejected it.
+    pub(in crate::gateway) fn observe_rejection(
+        &mut self,
+        parameters: &ServerParameters,
+        now: Timestamp,
+        rejected: bool,
+    ) {
+        let share = self.rejected_share(parameters, now);
+        let observed = f64::from(u8::from(rejected));
+        let share = share + (observed - share) * parameters.rejection_weight;
+        self.rejections = (share, now);
+    }
+
+    /// Share of the requests that it is expected to reject.
+    fn rejected_share(&self, parameters: &ServerParameters, now: Timestamp) -> f64 {
+        let (share, at) = self.rejections;
+        share * half_life(now.since(at), parameters.rejection_half_life)
+    }
+
+    /// Cost of an attempt that it may reject.
+    pub(super) fn rejection_cost(&self, parameters: &ServerParameters, now: Timestamp) -> Duration {
+        parameters
+            .rejection_cost
+            .mul_f64(self.rejected_share(parameters, now))
+    }
+
     /// An attempt was sent to it.
     pub(in crate::gateway) fn sent(
         &mut self,
--- a/crates/thornbridge-rehearsal/src/gateway/fault.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/fault.rs
@@ -71,6 +71,15 @@
         /// How long.
         lasts: Duration,
     },
+    /// All servers but every n-th reject a share of the requests, though they are not full.
+    Reject {
+        /// Every n-th is spared.
+        spared_each: usize,
+        /// The share, 0 to 1.
+        share: f64,
+        /// How long.
+        lasts: Duration,
+    },
     /// Servers lose the answer of a share of the requests they ran.
     ServersLoseAnswers {
         /// The share, 0 to 1.
--- a/crates/thornbridge-rehearsal/src/gateway/server.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/server.rs
@@ -43,6 +43,8 @@
     pub(super) condition: Condition,
     /// Factor of a fault on its work.
     pub(super) slow: f64,
+    /// Share of the requests that it rejects though it is not full.
+    pub(super) rejected_share: f64,
     /// It is slow until then, since it had nothing to do for a while.
     pub(super) cold_until: Timestamp,
     pub(super) draining: bool,
@@ -84,6 +86,7 @@
             slots,
             condition: Condition::Up,
             slow: 1.0,
+            rejected_share: 0.0,
             cold_until: Timestamp::ZERO,
             draining: false,
             tells_leaving: false,
@@ -136,7 +139,7 @@
         }
     }
 
-    /// Takes work; gives when it ends, or `None` where the queue is full.
+    /// Takes work; gives when it ends, or `None` where it is rejected.
     pub(super) fn work(
         &mut self,
         random: &mut Pcg64Mcg,
@@ -144,7 +147,8 @@
         work: Duration,
     ) -> Option<Timestamp> {
         self.starts.retain(|start| *start > now);
-        if self.starts.len() >= QUEUE {
+        let rejects = self.rejected_share > 0.0 && random.random_bool(self.rejected_share);
+        if rejects || self.starts.len() >= QUEUE {
             return None;
         }
         let slot = self.busy_until.iter_mut().min()?;
--- a/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
@@ -38,6 +38,7 @@
     EndServer(usize),
     CrashedReturns(usize),
     NotSlow(Vec<usize>),
+    NoneReject,
     AnswersArrive,
     AnswersSound,
     StartAgain(usize),
@@ -99,6 +100,17 @@
                 factor,
                 lasts,
             } => self.slow(every, factor, lasts),
+            GatewayFault::Reject {
+                spared_each,
+                share,
+                lasts,
+            } => {
+                let servers = self.servers.iter_mut().enumerate();
+                for (_, server) in servers.filter(|(index, _)| index % spared_each != 0) {
+                    server.rejected_share = share;
+                }
+                self.later(lasts, FaultStep::NoneReject);
+            }
             GatewayFault::ServersLoseAnswers { share, lasts } => {
                 self.answers_lost_share = share;
                 self.later(lasts, FaultStep::AnswersArrive);
@@ -237,6 +249,11 @@
                     self.servers[server].slow = 1.0;
                 }
             }
+            FaultStep::NoneReject => {
+                for server in &mut self.servers {
+                    server.rejected_share = 0.0;
+                }
+            }
             FaultStep::AnswersArrive => self.answers_lost_share = 0.0,
             FaultStep::AnswersSound => self.spoilt_share = 0.0,
             FaultStep::AskCrashing(crashing) => self.ask_crashing(crashing),
--- a/crates/thornbridge-rehearsal/tests/gateway/main.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/main.rs
@@ -10,5 +10,6 @@
 mod growth;
 mod mixed;
 mod overloads;
+mod rejections;
 mod silences;
 mod support;
