The last node of its zone that leaves divides by no relays

A node that leaves is not in the order of readers; where no other of its zone is, the zone has no relays, and the place among them was divided by their number: a panic.

--- a/crates/thornbridge-core/src/gateway/tests/neighbours.rs
+++ b/crates/thornbridge-core/src/gateway/tests/neighbours.rs
@@ -82,3 +82,20 @@
     assert!(nobody.is_empty());
     assert_eq!(nobody.any(&mut random), None);
 }
+
+/// What users saw: nodes that were told to stop closed their connections without an answer. Cause: a
+/// node that leaves takes no part in the order of readers, and the last one of its zone divided by the
+/// zone's relays, of which there were none.
+#[test]
+fn the_last_node_of_a_zone_polls_the_readers_while_it_leaves() {
+    let order = members(30);
+    for (index, own) in order.iter().enumerate() {
+        let others: Vec<Sharer> = order
+            .iter()
+            .filter(|member| member.zone != own.zone)
+            .cloned()
+            .collect();
+        let polled = polled_by(own, &others, others.len());
+        assert!(!polled.is_empty(), "{index}");
+    }
+}
--- a/crates/thornbridge-core/src/gateway/views/neighbourhood.rs
+++ b/crates/thornbridge-core/src/gateway/views/neighbourhood.rs
@@ -98,7 +98,9 @@
     let place = zone.clone().count();
     let members = order.iter().skip(1).filter(in_zone).count();
     let relays = members.div_ceil(MEMBERS_A_RELAY);
-    if rank <= READERS_POLLED || place < relays {
+    let relays_itself = rank <= READERS_POLLED || place < relays;
+    // A node that leaves is not in the order, and may be the last of its zone.
+    if relays_itself || relays == 0 {
         return readers.collect();
     }
     // A relay each, and the others if that one does not answer.
