--- a/crates/thornbridge-rehearsal/tests/gateway/eras.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/eras.rs
@@ -19,7 +19,8 @@
     GatewayFault::Replace { server, silent }
 }
 
-/// Servers are replaced within the seconds that the store loses, and after them.
+/// Servers are replaced within the seconds that the store loses, and after them. It loses many
+/// versions, too, so that its counter does not soon pass what it was.
 fn drill(copy_age_ms: u64, written_after_ms: u64) -> Vec<TimedFault> {
     let mut faults = vec![
         TimedFault::at(3.0, replace(0, false)),
@@ -29,6 +30,8 @@
         TimedFault::at(9.0, replace(4, false)),
         TimedFault::at(9.5, replace(41, false)),
     ];
+    let versions = (0..24).map(|step| 1.6 + 0.15 * f64::from(step));
+    faults.extend(versions.map(|at| TimedFault::at(at, GatewayFault::NewVersion)));
     let kill = |node| GatewayFault::KillNode {
         node,
         lasts: Duration::from_millis(900),
