Lent attempts are for retries, and come with the usual grant

Second attempts beside a running one used lent attempts, too, and an owner without budget asked for the grant at once, so that its coordinator kept no attempt for another owner.

--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -127,8 +127,6 @@
             return true;
         }
         request.denied += 1;
-        // Its coordinator may lend one.
-        request.request_grant();
         let waits = request.is_gather() || request.is_last_try();
         let leg = &mut request.legs[index];
         leg.denied = true;
--- a/crates/thornbridge-core/src/gateway/exchange/hedging.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/hedging.rs
@@ -34,8 +34,7 @@
             return;
         }
         let service = request.legs[index].service;
-        let lent = request.legs[index].has_lent(scope.now);
-        if !lent && !scope.budget.allows(scope.now, service) {
+        if !scope.budget.allows(scope.now, service) {
             request.denied += usize::from(!request.legs[index].denied);
             request.legs[index].denied = true;
             request.legs[index].look_at = Some(scope.now + interval * 2);
@@ -48,9 +47,7 @@
             .connection_for(scope.now, scope.actions, choice.server)
         {
             OpenOutcome::Resting(connection) => {
-                let leg = &mut request.legs[index];
-                let paid = leg.take_lent(scope.now);
-                if !paid && !scope.budget.try_take(scope.now, service) {
+                if !scope.budget.try_take(scope.now, service) {
                     return;
                 }
                 let server = choice.server;
--- a/crates/thornbridge-core/src/gateway/exchange/leg.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/leg.rs
@@ -134,7 +134,7 @@
         self.lent > 0 && now <= self.lent_until
     }
 
-    /// Uses one of these; `false` where there is none.
+    /// Uses one of these, for a retry; `false` where there is none.
     #[must_use]
     pub(super) fn take_lent(&mut self, now: Timestamp) -> bool {
         let may = self.has_lent(now);
