--- a/crates/thornbridge-core/src/gateway/views/registry.rs
+++ b/crates/thornbridge-core/src/gateway/views/registry.rs
@@ -176,7 +176,8 @@
 
     /// The entries of a store that came back from a copy, with what was known of their servers since
     /// that was made: a run that drains or was followed by another still does, and one that had left
-    /// takes nothing until its entry changes, or stays for longer than one that nobody writes. Guards against requests to servers whose leaving the store had acknowledged.
+    /// takes nothing until its entry changes, or stays for longer than one that nobody writes.
+    /// Guards against requests to servers whose leaving the store had acknowledged.
     fn carry_over(
         &self,
         entries: Vec<(StoreRevision, Instance)>,
