Reading the whole change again: one predicate, derived order, rejections and restores in modules

- Whether a peer is of this node's zone was written twice, and an exception stood on top of it in what is announced; it is one predicate now.
A pull and when it is due are two functions instead of a question that changed what it asked about.
- The error of an ended era comes from snafu like the others; what the clock releases is told as this node's own.
- Emulator: returns from a copy in a module of their own.
Tests and assertions as they were.

--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -267,7 +267,7 @@
             server.loaded(now, load);
         }
         let rejected = outcome == AttemptOutcome::NotRun;
-        server.observe_rejection(&parameters, now, rejected);
+        server.rejections.observe(&parameters, now, rejected);
         match outcome {
             AttemptOutcome::Answered => {
                 let work = took.saturating_sub(server.round_trip());
--- a/crates/thornbridge-core/src/gateway/exchange/leg.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/leg.rs
@@ -129,15 +129,10 @@
         self.lent_until = now + LENT_FOR;
     }
 
-    /// Whether an extra attempt of it is paid for by its coordinator.
-    pub(super) fn has_lent(&self, now: Timestamp) -> bool {
-        self.lent > 0 && now <= self.lent_until
-    }
-
     /// Uses one of these, for a retry; `false` where there is none.
     #[must_use]
     pub(super) fn take_lent(&mut self, now: Timestamp) -> bool {
-        let may = self.has_lent(now);
+        let may = self.lent > 0 && now <= self.lent_until;
         self.lent -= u32::from(may);
         may
     }
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -148,9 +148,9 @@
             let kept = self.parameters.views.departures_kept;
             self.registry.forget(self.now, kept);
             let released = self.registry.release_held(self.now);
-            self.registry_changed(released, ViewOrigin::Store);
+            self.registry_changed(released, ViewOrigin::Own);
             let over = self.evacuations.forget_carried(self.now);
-            self.evacuations_changed(over, ViewOrigin::Store);
+            self.evacuations_changed(over, ViewOrigin::Own);
             self.divide();
             self.open_links();
             self.servers.keep_warm(self.now, &mut self.actions);
--- a/crates/thornbridge-core/src/gateway/servers/choosing.rs
+++ b/crates/thornbridge-core/src/gateway/servers/choosing.rs
@@ -96,7 +96,7 @@
             Distance::OtherRegion => parameters.other_region_cost,
         };
         cost += server.failure_cost(parameters, now);
-        cost += server.rejection_cost(parameters, now);
+        cost += server.rejections.cost(parameters, now);
         if silent {
             cost += parameters.silence_cost;
         }
--- a/crates/thornbridge-core/src/gateway/servers/connections.rs
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -182,27 +182,32 @@
         let found = keys
             .iter()
             .filter_map(|key| Some((*key, self.servers.get(key)?)));
-        let mut connected = 0;
-        let mut cold: Vec<(ServerKey, &Server)> = Vec::new();
-        for (key, server) in found {
+        let kept = found.filter(|(_, server)| {
             let ready = server.availability == Availability::Ready && server.takes_requests();
-            let kept = server.assigned && ready;
-            if server.open + server.opening > 0 {
-                connected += usize::from(kept);
-            } else if kept && server.connect_after <= now {
-                cold.push((key, server));
-            }
-        }
-        cold.sort_by_key(|(_, server)| (!server.wanted, server.distance, server.order));
-        let mut keys = Vec::new();
-        for (key, server) in cold {
-            let needed = server.wanted || connected == 0;
-            if needed && connected < self.parameters.servers_ahead {
-                connected += 1;
-                keys.push(key);
-            }
+            server.assigned && ready
+        });
+        let (connected, cold): (Vec<_>, Vec<_>) =
+            kept.partition(|(_, server)| server.open + server.opening > 0);
+        let room = self
+            .parameters
+            .servers_ahead
+            .saturating_sub(connected.len());
+        if room == 0 {
+            return Vec::new();
         }
-        keys
+        let mut cold: Vec<(ServerKey, &Server)> = cold
+            .into_iter()
+            .filter(|(_, server)| server.connect_after <= now)
+            .collect();
+        cold.sort_by_cached_key(|(_, server)| {
+            let order = self.subset.order_of(&server.id);
+            (!server.wanted, server.distance, order)
+        });
+        // Those that are not wanted come last: one of them where there is no other.
+        let unwanted = usize::from(connected.is_empty());
+        let wanted = cold.iter().filter(|(_, server)| server.wanted).count();
+        let keys = cold.into_iter().map(|(key, _)| key);
+        keys.take(wanted.max(unwanted).min(room)).collect()
     }
 
     /// Takes a connection off the tables.
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -8,6 +8,7 @@
 mod opening;
 mod queue;
 mod registering;
+mod rejections;
 mod scarcity;
 mod server;
 mod subset;
--- a/crates/thornbridge-core/src/gateway/servers/registering.rs
+++ b/crates/thornbridge-core/src/gateway/servers/registering.rs
@@ -115,8 +115,7 @@
         let key = ServerKey(self.next_key);
         self.next_key += 1;
         let distance = self.placement.distance_to(&instance.zone);
-        let order = self.subset.order_of(&instance.id);
-        let mut server = Server::new(now, instance, service, distance, order);
+        let mut server = Server::new(now, instance, service, distance);
         server.evacuated = self.evacuated.contains(&instance.zone);
         self.servers.insert(key, server);
         self.by_id.insert(instance.id.clone(), key);
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -1,6 +1,7 @@
 //! One server: what is known of it, and what is on its way to it.
 
 use super::queue::WaitingQueue;
+use super::rejections::Rejections;
 use crate::driver_action::ConnectionId;
 use crate::gateway::budget::ServiceKey;
 use crate::gateway::event::ServerLoad;
@@ -101,8 +102,6 @@
     pub(in crate::gateway) address: SocketAddr,
     pub(in crate::gateway) zone: ZoneName,
     pub(in crate::gateway) distance: Distance,
-    /// Its place in an order of this node's own, so that nodes begin with different servers.
-    pub(super) order: u64,
     pub(in crate::gateway) slots: u32,
     pub(in crate::gateway) availability: Availability,
     /// Whether the operator wants nothing to be sent to its zone.
@@ -126,8 +125,7 @@
     speed: (f64, Timestamp),
     /// Cost of its failures in seconds, at a time.
     failures: (f64, Timestamp),
-    /// Share of its latest answers that were rejections, at a time.
-    rejections: (f64, Timestamp),
+    pub(in crate::gateway) rejections: Rejections,
     load: Option<(ServerLoad, Timestamp)>,
 }
 
@@ -137,7 +135,6 @@
         instance: &Instance,
         service: ServiceKey,
         distance: Distance,
-        order: u64,
     ) -> Self {
         Self {
             id: instance.id.clone(),
@@ -147,7 +144,6 @@
             address: instance.address,
             zone: instance.zone.clone(),
             distance,
-            order,
             slots: instance.slots.max(1),
             availability: Availability::Ready,
             evacuated: false,
@@ -165,7 +161,7 @@
             round_trip: None,
             speed: (0.0, now),
             failures: (0.0, now),
-            rejections: (0.0, now),
+            rejections: Rejections::none(now),
             load: None,
         }
     }
@@ -296,32 +292,6 @@
         Duration::from_secs_f64(cost * half_life(now.since(at), parameters.failure_half_life))
     }
 
-    /// It took a request, or rejected it.
-    pub(in crate::gateway) fn observe_rejection(
-        &mut self,
-        parameters: &ServerParameters,
-        now: Timestamp,
-        rejected: bool,
-    ) {
-        let share = self.rejected_share(parameters, now);
-        let observed = f64::from(u8::from(rejected));
-        let share = share + (observed - share) * parameters.rejection_weight;
-        self.rejections = (share, now);
-    }
-
-    /// Share of the requests that it is expected to reject.
-    fn rejected_share(&self, parameters: &ServerParameters, now: Timestamp) -> f64 {
-        let (share, at) = self.rejections;
-        share * half_life(now.since(at), parameters.rejection_half_life)
-    }
-
-    /// Cost of an attempt that it may reject.
-    pub(super) fn rejection_cost(&self, parameters: &ServerParameters, now: Timestamp) -> Duration {
-        parameters
-            .rejection_cost
-            .mul_f64(self.rejected_share(parameters, now))
-    }
-
     /// An attempt was sent to it.
     pub(in crate::gateway) fn sent(
         &mut self,
@@ -406,6 +376,6 @@
     }
 }
 
-fn half_life(age: Duration, half_life: Duration) -> f64 {
+pub(super) fn half_life(age: Duration, half_life: Duration) -> f64 {
     0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64().max(1e-6))
 }
--- a/crates/thornbridge-core/src/gateway/servers/subset.rs
+++ b/crates/thornbridge-core/src/gateway/servers/subset.rs
@@ -56,7 +56,7 @@
         }
     }
 
-    /// Place of a server in this node's own order.
+    /// Place of a server in an order of this node's own, so that nodes begin with different ones.
     pub(super) fn order_of(&self, server: &BackEndId) -> u64 {
         pair_hash(self.own.0, server_hash(server.as_str()))
     }
--- a/crates/thornbridge-core/src/gateway/views/era.rs
+++ b/crates/thornbridge-core/src/gateway/views/era.rs
@@ -3,7 +3,7 @@
 //! Guards against answers of an earlier era that arrive late, and against values that cannot be: an
 //! era that was believed once outranks all that came before it.
 
-use std::fmt;
+use snafu::Snafu;
 
 /// Eras by which a store can have moved on since it was last heard.
 const MOST_ERAS_MISSED: u64 = 1_000;
@@ -22,7 +22,8 @@
 }
 
 /// An answer of an era that is over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("answer of era {told} after one of era {known}"))]
 pub struct EndedEra {
     /// Era of the answer.
     pub told: u64,
@@ -30,13 +31,6 @@
     pub known: u64,
 }
 
-impl fmt::Display for EndedEra {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self { told, known } = self;
-        write!(formatter, "answer of era {told} after one of era {known}")
-    }
-}
-
 /// The newest era that the store told this process.
 #[derive(Debug, Default)]
 pub struct EraTracker {
--- a/crates/thornbridge-core/src/gateway/views/neighbourhood.rs
+++ b/crates/thornbridge-core/src/gateway/views/neighbourhood.rs
@@ -44,9 +44,14 @@
         self.near.is_empty() && self.others.is_empty()
     }
 
+    /// Whether a peer is of this node's zone.
+    pub(in crate::gateway) fn is_in_zone(&self, peer: SocketAddr) -> bool {
+        self.near.binary_search(&peer).is_ok()
+    }
+
     /// Whether a peer is as near as any.
     pub(in crate::gateway) fn is_near(&self, peer: SocketAddr) -> bool {
-        self.near.is_empty() || self.near.binary_search(&peer).is_ok()
+        self.near.is_empty() || self.is_in_zone(peer)
     }
 
     /// Peers of this node's zone.
--- a/crates/thornbridge-core/src/gateway/views/peers.rs
+++ b/crates/thornbridge-core/src/gateway/views/peers.rs
@@ -98,11 +98,6 @@
         self.poll_index = 0;
     }
 
-    /// Whether a peer is as near as any.
-    pub(in crate::gateway) fn is_near(&self, peer: SocketAddr) -> bool {
-        self.peers.is_near(peer)
-    }
-
     /// A peer drawn at random: of this node's zone, and sometimes any.
     fn draw(&mut self, random: &mut Pcg64Mcg) -> Option<SocketAddr> {
         self.drawn = self.drawn.wrapping_add(1);
@@ -127,12 +122,8 @@
     pub(in crate::gateway) fn next_timeout(&self, own: ViewDigest) -> Option<Timestamp> {
         let ask = self.asks_anyone(own).then_some(self.next_pull);
         let digest = (!self.peers.is_empty()).then_some(self.next_digest);
-        let pull = self
-            .behind
-            .map(|behind| match self.is_in_zone(behind.peer) {
-                true => behind.pull_at,
-                false => behind.pull_at.max(self.next_far_pull),
-            });
+        let behind = self.behind.as_ref();
+        let pull = behind.map(|behind| self.pull_from_at(behind.peer, behind.pull_at));
         let poll = (!self.polled.is_empty()).then_some(self.next_poll);
         [ask, digest, pull, poll].into_iter().flatten().min()
     }
@@ -158,16 +149,18 @@
         if self.asks_anyone(own) && self.next_pull <= now {
             self.next_pull = now + ASK_AGAIN;
             let peer = self.draw(random);
-            let peer = peer.filter(|peer| self.may_pull_from(now, *peer));
-            actions.extend(peer.map(|peer| send(peer, ViewMessage::Pull(own))));
+            let peer = peer.filter(|peer| self.pull_from_at(*peer, now) <= now);
+            if let Some(peer) = peer {
+                self.pull(now, actions, peer, own);
+            }
         }
         let Some(behind) = self.behind else {
             return;
         };
         if !is_behind(own, behind.digest) {
             self.behind = None;
-        } else if behind.pull_at <= now && self.may_pull_from(now, behind.peer) {
-            actions.push_back(send(behind.peer, ViewMessage::Pull(own)));
+        } else if self.pull_from_at(behind.peer, behind.pull_at) <= now {
+            self.pull(now, actions, behind.peer, own);
             let doublings = behind.pulls.min(MOST_DOUBLINGS);
             // A peer that does not answer is not asked for ever: the next digest names another.
             self.behind = Some(Behind {
@@ -178,25 +171,31 @@
         }
     }
 
-    fn is_in_zone(&self, peer: SocketAddr) -> bool {
-        self.peers.near().binary_search(&peer).is_ok()
+    /// When a peer may be pulled from, where that is due at a time.
+    fn pull_from_at(&self, peer: SocketAddr, due: Timestamp) -> Timestamp {
+        match self.peers.is_in_zone(peer) {
+            true => due,
+            false => due.max(self.next_far_pull),
+        }
     }
 
-    /// Whether a peer may be pulled from; takes it that it is.
-    fn may_pull_from(&mut self, now: Timestamp, peer: SocketAddr) -> bool {
-        if self.is_in_zone(peer) {
-            return true;
-        }
-        let may = self.next_far_pull <= now;
-        if may {
+    /// Pulls from a peer.
+    fn pull(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        peer: SocketAddr,
+        own: ViewDigest,
+    ) {
+        if !self.peers.is_in_zone(peer) {
             self.next_far_pull = now + PULL_AGAIN;
         }
-        may
+        actions.push_back(send(peer, ViewMessage::Pull(own)));
     }
 
     /// Whether a view is lacking, and no peer is known from which it is to be had now.
     fn asks_anyone(&self, own: ViewDigest) -> bool {
-        let later = |behind: &Behind| behind.pulls == 0 && !self.is_near(behind.peer);
+        let later = |behind: &Behind| behind.pulls == 0 && !self.peers.is_near(behind.peer);
         let nobody = self.behind.as_ref().is_none_or(later);
         nobody && self.lacks_a_view(own) && !self.peers.is_empty()
     }
@@ -221,7 +220,7 @@
         for peer in self.peers.near().choose_multiple(random, fanout) {
             actions.push_back(send_digest(*peer, own));
         }
-        if from.is_some_and(|peer| self.is_near(peer)) && !self.peers.near().is_empty() {
+        if from.is_some_and(|peer| self.peers.is_in_zone(peer)) {
             return;
         }
         for peer in self.peers.one_of_each_other_zone(random) {
@@ -254,7 +253,7 @@
 
     /// Time to wait before a peer is pulled from.
     fn patience_with(&self, peer: SocketAddr, own: ViewDigest) -> Duration {
-        if self.is_near(peer) || !self.polled.contains(&peer) {
+        if self.peers.is_near(peer) || !self.polled.contains(&peer) {
             return Duration::ZERO;
         }
         match self.lacks_a_view(own) {
@@ -274,7 +273,7 @@
         let Some(known) = self.behind else {
             return fresh;
         };
-        let farther = self.is_near(known.peer) && !self.is_near(peer);
+        let farther = self.peers.is_near(known.peer) && !self.peers.is_near(peer);
         if farther && !is_behind(known.digest, digest) {
             return known;
         }
--- a/crates/thornbridge-core/src/gateway/views/registry.rs
+++ b/crates/thornbridge-core/src/gateway/views/registry.rs
@@ -37,7 +37,8 @@
 }
 
 /// The registry.
-#[derive(Clone, Debug, Default)]
+#[derive(Debug, Default)]
+#[cfg_attr(test, derive(Clone))]
 pub(in crate::gateway) struct Registry {
     upto: Option<StoreRevision>,
     present: BTreeMap<BackEndId, (StoreRevision, Instance)>,
--- a/crates/thornbridge-core/src/membership/anti_entropy.rs
+++ b/crates/thornbridge-core/src/membership/anti_entropy.rs
@@ -2,7 +2,8 @@
 //!
 //! A table of 690 members is too big to send often. So a digest of the whole goes first, then,
 //! only where it differs, the digests of buckets, then how the members of some buckets stand, and
-//! at last the records that one of the two lacks. Suspicions pass and dead members are forgotten at different times, so a digest covers neither.
+//! at last the records that one of the two lacks. Suspicions pass and dead members are forgotten at
+//! different times, so a digest covers neither.
 
 use super::{Membership, send};
 use crate::context::Context;
--- a/crates/thornbridge-proto/src/peer/mod.rs
+++ b/crates/thornbridge-proto/src/peer/mod.rs
@@ -4,7 +4,7 @@
 pub mod configuration;
 pub mod health;
 pub mod membership;
-pub mod packed_registry;
+mod packed_registry;
 pub mod quarantine;
 pub mod slice;
 pub mod view;
--- a/crates/thornbridge-rehearsal/src/gateway/world.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world.rs
@@ -6,6 +6,7 @@
 mod machines;
 mod processor;
 mod queue;
+mod restoring;
 mod serving;
 
 use super::callers::{Try, next_arrival};
--- a/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
@@ -1,7 +1,6 @@
 //! Faults at work.
 
 use super::crashing::Crashing;
-use super::zone_name;
 use super::{Occurrence, World};
 use crate::gateway::fault::GatewayFault;
 use crate::gateway::network::PeerLag;
@@ -19,7 +18,7 @@
 /// Time after which the operator gives an order again that the store did not take.
 const ORDER_AGAIN: Duration = Duration::from_millis(200);
 /// Time for which the entry of a server stays that does not write: three heartbeats.
-const ENTRY_KEPT: Duration = Duration::from_millis(3_600);
+pub(super) const ENTRY_KEPT: Duration = Duration::from_millis(3_600);
 /// Time for which the servers of a zone are slow after its evacuation.
 const COLD_AFTER_EVACUATION: Duration = Duration::from_secs(3);
 
@@ -63,14 +62,7 @@
                 lasts,
                 copy_age,
                 written_after,
-            } => {
-                let made_by = self.now.since_epoch().saturating_sub(copy_age);
-                let made_by = Timestamp::from_epoch(made_by);
-                self.store_down(lasts, false, false);
-                self.later(lasts, FaultStep::StoreRestored { made_by });
-                self.later(lasts + written_after, FaultStep::WriteAgain);
-                self.later(lasts + ENTRY_KEPT, FaultStep::UnwrittenLapse);
-            }
+            } => self.store_restored(lasts, copy_age, written_after),
             GatewayFault::StoreRefuses { node, lasts } => {
                 self.machines[node].refused_until = self.now + lasts;
             }
@@ -104,13 +96,7 @@
                 spared_each,
                 share,
                 lasts,
-            } => {
-                let servers = self.servers.iter_mut().enumerate();
-                for (_, server) in servers.filter(|(index, _)| index % spared_each != 0) {
-                    server.rejected_share = share;
-                }
-                self.later(lasts, FaultStep::NoneReject);
-            }
+            } => self.reject(spared_each, share, lasts),
             GatewayFault::ServersLoseAnswers { share, lasts } => {
                 self.answers_lost_share = share;
                 self.later(lasts, FaultStep::AnswersArrive);
@@ -143,7 +129,7 @@
         }
     }
 
-    fn store_down(&mut self, lasts: Duration, silent: bool, lapse: bool) {
+    pub(super) fn store_down(&mut self, lasts: Duration, silent: bool, lapse: bool) {
         self.store.condition = match silent {
             true => StoreCondition::Silent,
             false => StoreCondition::Refusing,
@@ -249,11 +235,7 @@
                     self.servers[server].slow = 1.0;
                 }
             }
-            FaultStep::NoneReject => {
-                for server in &mut self.servers {
-                    server.rejected_share = 0.0;
-                }
-            }
+            FaultStep::NoneReject => self.set_rejected_share(1, 0.0),
             FaultStep::AnswersArrive => self.answers_lost_share = 0.0,
             FaultStep::AnswersSound => self.spoilt_share = 0.0,
             FaultStep::AskCrashing(crashing) => self.ask_crashing(crashing),
@@ -269,39 +251,6 @@
         }
     }
 
-    /// Servers and operator write again what the store lost.
-    fn write_again(&mut self) {
-        for server in 0..self.servers.len() {
-            let server = &self.servers[server];
-            let lives = server.condition == Condition::Up;
-            if lives && (server.leaving_since.is_none() || server.tells_leaving) {
-                self.store.put_server(server.instance());
-            }
-        }
-        let configuration = self.scenario.configuration(self.version, self.generation);
-        self.store.put_configuration(configuration);
-        for zone in 0..self.scenario.nodes.len() {
-            let evacuated = self.evacuated_since.contains_key(&zone);
-            self.store.set_evacuated(zone_name(zone), evacuated);
-        }
-        self.tell_watches();
-    }
-
-    /// Entries go that came back with a copy and that no server writes.
-    fn unwritten_lapse(&mut self) {
-        for id in self.store.server_ids() {
-            let mut servers = self.servers.iter();
-            let server = servers.find(|server| server.id == id);
-            let lives = server.is_some_and(|server| server.condition == Condition::Up);
-            let leaves = server.is_some_and(|server| server.leaving_since.is_some());
-            let told = server.is_some_and(|server| server.tells_leaving);
-            if !lives || (leaves && !told) {
-                self.store.remove_server(&id);
-            }
-        }
-        self.tell_watches();
-    }
-
     /// Waiting watches are cut off.
     fn cut_watches(&mut self) {
         for (node, life, kind, read, _) in std::mem::take(&mut self.watches) {
@@ -397,6 +346,21 @@
         self.later(lasts, FaultStep::NotSlow(slowed));
     }
 
+    fn reject(&mut self, spared_each: usize, share: f64, lasts: Duration) {
+        self.set_rejected_share(spared_each, share);
+        self.later(lasts, FaultStep::NoneReject);
+    }
+
+    /// For all servers but every n-th; for all of them where that is each.
+    fn set_rejected_share(&mut self, spared_each: usize, share: f64) {
+        let spared = |index: usize| spared_each > 1 && index.is_multiple_of(spared_each);
+        for (index, server) in self.servers.iter_mut().enumerate() {
+            if !spared(index) {
+                server.rejected_share = share;
+            }
+        }
+    }
+
     /// Every connection of a server breaks.
     fn lose_connections(&mut self, server: usize) {
         let lost = std::mem::take(&mut self.servers[server].connections);
