--- a/crates/thornbridge-core/src/gateway/budget.rs
+++ b/crates/thornbridge-core/src/gateway/budget/mod.rs
@@ -16,6 +16,10 @@
 //! smaller than the number of nodes can be used. The probability is low enough for the sum of all
 //! nodes' grants to stay below the slack.
 
+mod usage;
+
+pub(super) use usage::ServiceUsage;
+
 use super::parameters::BudgetParameters;
 use super::window::SumWindow;
 use crate::time::Timestamp;
@@ -36,6 +40,8 @@
 struct ServiceBudget {
     requests: SumWindow,
     extra: SumWindow,
+    /// Counts since the last report.
+    usage: ServiceUsage,
 }
 
 /// Upper bound of the number of nodes that share the slack.
@@ -53,6 +59,7 @@
     parameters: BudgetParameters,
     member_bound: MemberBound,
     services: BTreeMap<ServiceKey, ServiceBudget>,
+    next_report: Timestamp,
     /// Seed for the draws of shares below one attempt.
     seed: u64,
 }
@@ -67,6 +74,7 @@
                 false => MemberBound::AtMost(1),
             },
             services: BTreeMap::new(),
+            next_report: Timestamp::ZERO + parameters.window,
             parameters,
         }
     }
@@ -127,7 +135,9 @@
 
     /// Counts a request for a service.
     pub(super) fn record_request(&mut self, now: Timestamp, service: ServiceKey) {
-        self.budget(service).requests.add(now, 1);
+        let budget = self.budget(service);
+        budget.requests.add(now, 1);
+        budget.usage.requests += 1;
     }
 
     /// Whether an extra attempt is allowed now.
@@ -142,7 +152,9 @@
             true => (1.0 - used_share) * earned,
             false => used_share * earned + slack,
         };
-        extra + 1.0 <= limit
+        let allowed = extra + 1.0 <= limit;
+        budget.usage.denied += u64::from(!allowed);
+        allowed
     }
 
     /// Takes one extra attempt from the budget; returns `false` and takes none if it is exhausted.
@@ -151,10 +163,23 @@
         if !self.allows(now, service) {
             return false;
         }
-        self.budget(service).extra.add(now, 1);
+        let budget = self.budget(service);
+        budget.extra.add(now, 1);
+        budget.usage.extra += 1;
         true
     }
 
+    /// Use since the last report, for the services that wanted most extra attempts; empty until a
+    /// window has passed.
+    pub(super) fn report_usage(&mut self, now: Timestamp) -> Vec<(ServiceKey, ServiceUsage)> {
+        if now < self.next_report {
+            return Vec::new();
+        }
+        self.next_report = now + self.parameters.window;
+        let services = self.services.iter_mut();
+        usage::largest(services.map(|(key, budget)| (*key, budget.usage.end_window())))
+    }
+
     fn budget(&mut self, service: ServiceKey) -> &mut ServiceBudget {
         let bucket_duration = self.parameters.window / WINDOW_BUCKETS;
         self.services
@@ -163,6 +188,7 @@
                 requests: SumWindow::new(bucket_duration, WINDOW_BUCKETS),
                 // Longer than the window, since servers may count an attempt later than this node.
                 extra: SumWindow::new(bucket_duration, WINDOW_BUCKETS + 2),
+                usage: ServiceUsage::default(),
             })
     }
 }
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -156,6 +156,7 @@
             let ended = self.evacuations.expire_carried_over(self.now);
             self.apply_evacuation_changes(ended, ViewOrigin::Own);
             self.update_slices();
+            self.report_budget_usage();
             self.open_links();
             self.servers.keep_warm(self.now, &mut self.actions);
         }
--- a/crates/thornbridge-core/src/gateway/members.rs
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -49,6 +49,24 @@
         }
     }
 
+    /// Reports how this node uses the budgets, once per window.
+    pub(super) fn report_budget_usage(&mut self) {
+        for (service, usage) in self.budget.report_usage(self.now) {
+            let Some(service) = self.servers.service_name(service) else {
+                continue;
+            };
+            let change = GatewayChange::BudgetUsage {
+                service: service.clone(),
+                requests: usage.requests,
+                previous_requests: usage.previous_requests,
+                extra: usage.extra,
+                denied: usage.denied,
+                members: self.budget.member_bound(),
+            };
+            self.actions.push_back(GatewayAction::Changed(change));
+        }
+    }
+
     pub(super) fn members_changed(&mut self, view: &MemberView) {
         let own = view.own().endpoint.address;
         let own_location = member_location(view.own());
--- a/crates/thornbridge-core/src/gateway/telemetry.rs
+++ b/crates/thornbridge-core/src/gateway/telemetry.rs
@@ -8,7 +8,7 @@
 use thornbridge_config::routes::RouteVersion;
 use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::view::StoreRevision;
-use thornbridge_proto::{BackEndId, ZoneName};
+use thornbridge_proto::{BackEndId, ServiceName, ZoneName};
 
 /// Summary of one attempt at a server.
 #[derive(Clone, Debug, PartialEq)]
@@ -341,6 +341,21 @@
         /// Number of nodes; `None` while unknown.
         members: Option<usize>,
     },
+    /// Use of a service's budget of extra attempts by this node, over a window.
+    BudgetUsage {
+        /// Service.
+        service: ServiceName,
+        /// Requests counted in the window.
+        requests: u64,
+        /// Requests counted in the window before.
+        previous_requests: u64,
+        /// Extra attempts taken.
+        extra: u64,
+        /// Denials; an attempt that waits may be denied repeatedly.
+        denied: u64,
+        /// Number of nodes that share the slack; `None` while unknown.
+        members: Option<usize>,
+    },
     /// The lifecycle state of this node changed.
     Lifecycle {
         /// New state.
--- a/crates/thornbridge-core/src/gateway/tests/budgets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/budgets.rs
@@ -1,6 +1,6 @@
 //! The retry budget holds for all members together, across restarts and lost members.
 
-use crate::gateway::budget::{ExtraAttemptBudget, ServiceKey};
+use crate::gateway::budget::{ExtraAttemptBudget, ServiceKey, ServiceUsage};
 use crate::gateway::parameters::BudgetParameters;
 use crate::time::Timestamp;
 use proptest::prelude::*;
@@ -216,3 +216,26 @@
         }
     }
 }
+
+#[test]
+fn usage_is_reported_once_per_window() {
+    let mut budget = member_of(8);
+    let reported = Timestamp::ZERO + WINDOW * 2;
+    budget.record_request(reported, SERVICE);
+    assert!(budget.report_usage(reported).len() <= 1);
+    let now = reported + WINDOW / 2;
+    for _ in 0..20 {
+        budget.record_request(now, SERVICE);
+    }
+    let taken = take_all(&mut budget, now.since_epoch());
+    assert_eq!(budget.report_usage(now), []);
+    let expected = ServiceUsage {
+        requests: 20,
+        previous_requests: 1,
+        extra: taken as u64,
+        denied: 100 - taken as u64,
+    };
+    let next = reported + WINDOW;
+    assert_eq!(budget.report_usage(next), [(SERVICE, expected)]);
+    assert_eq!(budget.report_usage(next + WINDOW), []);
+}
--- a/crates/thornbridge-node/src/gateway/log_lines.rs
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -208,6 +208,22 @@
         GatewayChange::BudgetMembers { members } => {
             log::info!(sharers = members.unwrap_or_default(); "budget sharers");
         }
+        GatewayChange::BudgetUsage {
+            service,
+            requests,
+            previous_requests,
+            extra,
+            denied,
+            members,
+        } => log::info!(
+            service = service.as_str(),
+            requests = *requests,
+            requests_before = *previous_requests,
+            extra = *extra,
+            denied = *denied,
+            sharers = members.unwrap_or_default();
+            "budget use"
+        ),
         GatewayChange::Lifecycle { state } => log::info!(state = *state; "node"),
     }
 }
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -230,6 +230,7 @@
             GatewayChange::Quarantine { state, .. } => state,
             GatewayChange::Members { .. } => "members",
             GatewayChange::BudgetMembers { .. } => "budget_sharers",
+            GatewayChange::BudgetUsage { .. } => "budget_use",
             GatewayChange::Lifecycle { state } => state,
         };
         let change = change.to_owned();
