--- a/crates/thornbridge-core/src/gateway/tests/budgets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/budgets.rs
@@ -67,6 +67,23 @@
     (0..100).filter(|_| budget.try_take(now, SERVICE)).count()
 }
 
+/// Number of times in the window that ends then.
+fn count_within(times: &[Timestamp], end: Timestamp) -> f64 {
+    let within = times
+        .iter()
+        .filter(|at| end.since(**at) < WINDOW && **at <= end);
+    within.count() as f64
+}
+
+/// Requests that the budget is measured by: those of the window that ends then, or of one that ends
+/// half a window or a window before.
+fn most_requests(requests: &[Timestamp], end: Timestamp) -> f64 {
+    let ends = [end, end - WINDOW / 2, end - WINDOW];
+    ends.map(|end| count_within(requests, end))
+        .into_iter()
+        .fold(0.0, f64::max)
+}
+
 proptest! {
     /// Restarted members have lost their counts and their knowledge of others; neither may raise the
     /// sum of extra attempts above the budget.
@@ -103,13 +120,8 @@
                     extra.extend(std::iter::repeat_n(now, taken));
                 }
             }
-            let within = |times: &[Timestamp], end: Timestamp| {
-                times.iter().filter(|at| end.since(**at) < WINDOW && **at <= end).count() as f64
-            };
-            let requested = within(&requests, now)
-                .max(within(&requests, now - WINDOW / 2))
-                .max(within(&requests, now - WINDOW));
-            let used = within(&extra, now);
+            let requested = most_requests(&requests, now);
+            let used = count_within(&extra, now);
             prop_assert!(used <= 0.2 * requested + 56.0, "{used} extra attempts, {requested} requests");
         }
     }
@@ -193,6 +205,53 @@
     );
 }
 
+/// Extra attempts that all members take if requests turn from one half of them to the other while each
+/// request needs an extra attempt; the window that exceeds the budget most, as taken and allowed.
+fn worst_window_after_move(members: usize, requests_per_second: usize) -> (f64, f64) {
+    let step = Duration::from_millis(100);
+    let requests_per_step = requests_per_second / 10;
+    let (failing_from, moved_at, end) = (WINDOW * 3, WINDOW * 3 + step * 17, WINDOW * 5);
+    let mut budgets: Vec<_> = (0..members).map(|_| member_of(members)).collect();
+    let (mut requests, mut extra) = (Vec::new(), Vec::new());
+    let mut at = WINDOW * 2;
+    let mut turn = 0;
+    while at < end {
+        let now = Timestamp::from_epoch(at);
+        for _ in 0..requests_per_step {
+            let offset = if at < moved_at { 0 } else { members / 2 };
+            let budget = &mut budgets[offset + turn % (members / 2)];
+            turn += 1;
+            budget.record_request(now, SERVICE);
+            requests.push(now);
+            if at >= failing_from && budget.try_take(now, SERVICE) {
+                extra.push(now);
+            }
+        }
+        at += step;
+    }
+    let windows = extra.iter().map(|end| {
+        let allowed = 0.2 * most_requests(&requests, *end) + 56.0;
+        (count_within(&extra, *end), allowed)
+    });
+    let worst = windows.max_by(|left, right| (left.0 - left.1).total_cmp(&(right.0 - right.1)));
+    worst.expect("extra attempts")
+}
+
+/// Guards against attempts that are earned in two windows and used in one, at members that callers
+/// leave and at those that they turn to.
+#[test]
+fn requests_that_move_between_members_earn_once() {
+    for members in [2, 4, 8] {
+        for requests_per_second in [20, 50, 100, 400, 1_000] {
+            let (used, allowed) = worst_window_after_move(members, requests_per_second);
+            assert!(
+                used <= allowed,
+                "{members} members, {requests_per_second} per second: {used} of {allowed}"
+            );
+        }
+    }
+}
+
 /// Guards against a slack that goes unused because each node's share is less than one attempt.
 #[test]
 fn slack_share_below_one_attempt_is_used() {
--- a/crates/thornbridge-rehearsal/src/gateway/fault.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/fault.rs
@@ -141,6 +141,11 @@
         /// How long.
         lasts: Duration,
     },
+    /// New callers come from other zones than before.
+    CallersMove {
+        /// Share of them that come from the first zone, 0 to 1.
+        first_zone_share: f64,
+    },
     /// A node's process stands still.
     Freeze {
         /// The node.
--- a/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
@@ -121,6 +121,9 @@
                 lasts,
                 away,
             } => self.crashing_request_comes(load, every, lasts, away),
+            GatewayFault::CallersMove { first_zone_share } => {
+                self.scenario.first_zone_share = Some(first_zone_share);
+            }
             GatewayFault::Freeze { node, lasts } => self.freeze(node, lasts),
             GatewayFault::Evacuate { zone, lasts } => {
                 self.set_evacuated(zone, true);
--- a/crates/thornbridge-rehearsal/tests/gateway/budgets.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/budgets.rs
@@ -92,3 +92,29 @@
     faults.extend(kill(11.0, 0..NODES, 0.3));
     assert_within_budget(&faults);
 }
+
+/// Guards against attempts that are earned twice: by requests at the nodes that callers leave, and
+/// at those that they turn to.
+#[test]
+fn nodes_whose_callers_turn_to_others_keep_it() {
+    let lost = GatewayFault::ServersLoseAnswers {
+        share: 0.9,
+        lasts: seconds(12.0),
+    };
+    let turn = GatewayFault::CallersMove {
+        first_zone_share: 0.0,
+    };
+    for seed in 0..SEED_RUNS {
+        let faults = vec![
+            TimedFault::at(14.0, lost.clone()),
+            TimedFault::at(16.0, turn.clone()),
+        ];
+        let mut scenario = GatewayScenario::small_teams(seed).with_faults(faults);
+        scenario.first_zone_share = Some(1.0);
+        scenario.length = seconds(27.0);
+        let report = run(scenario);
+        let broken = report.broken.iter();
+        let over: Vec<_> = broken.filter(|one| one.rule == Rule::Budget).collect();
+        assert!(over.is_empty(), "seed {seed}: {} services", over.len());
+    }
+}
