--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/budget/history.rs
@@ -0,0 +1,107 @@
+//! Requests and extra attempts of one service over the last two windows, counted in buckets.
+
+use crate::time::Timestamp;
+use std::time::Duration;
+
+/// Buckets per window.
+const WINDOW_BUCKETS: usize = 40;
+/// Buckets by which servers may count an attempt later than this node.
+const ARRIVAL_LAG_BUCKETS: usize = 2;
+/// Buckets kept: two windows.
+const KEPT_BUCKETS: usize = 2 * WINDOW_BUCKETS;
+
+/// Counts of one window that contains the present.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct WindowCounts {
+    /// Extra attempts that servers may count in the window.
+    pub(super) extra: u32,
+    /// Requests that certainly fall into the window.
+    pub(super) requests: u32,
+    /// Requests that certainly fall into the window before.
+    pub(super) previous_requests: u32,
+    /// Requests of the bucket in which the window begins: each falls into one of the two windows.
+    pub(super) boundary_requests: u32,
+}
+
+impl WindowCounts {
+    /// Weighted mean of the requests of the window and of the one before.
+    pub(super) fn mean_requests(&self, previous_share: f64) -> f64 {
+        let current_share = 1.0 - previous_share;
+        current_share * f64::from(self.requests)
+            + previous_share * f64::from(self.previous_requests)
+            + current_share.min(previous_share) * f64::from(self.boundary_requests)
+    }
+}
+
+/// Counts of one service.
+#[derive(Debug)]
+pub(super) struct History {
+    bucket_duration: Duration,
+    /// Number of the current bucket since the epoch.
+    current: u64,
+    /// Requests by age of the bucket.
+    requests: [u32; KEPT_BUCKETS],
+    /// Extra attempts by age of the bucket.
+    extra: [u32; KEPT_BUCKETS],
+}
+
+impl History {
+    pub(super) fn new(window: Duration) -> Self {
+        Self {
+            bucket_duration: window / WINDOW_BUCKETS as u32,
+            current: 0,
+            requests: [0; KEPT_BUCKETS],
+            extra: [0; KEPT_BUCKETS],
+        }
+    }
+
+    pub(super) fn add_request(&mut self, now: Timestamp) {
+        self.advance(now);
+        self.requests[0] += 1;
+    }
+
+    pub(super) fn add_extra(&mut self, now: Timestamp) {
+        self.advance(now);
+        self.extra[0] += 1;
+    }
+
+    /// Counts of the windows that contain `now`, by the age of their first bucket.
+    ///
+    /// A window may begin and end anywhere in a bucket. Extra attempts of all buckets that it touches
+    /// are counted, and only requests of buckets that lie in it as a whole.
+    pub(super) fn windows(&mut self, now: Timestamp) -> impl Iterator<Item = WindowCounts> + '_ {
+        self.advance(now);
+        let mut counts = WindowCounts {
+            extra: self.extra[..ARRIVAL_LAG_BUCKETS].iter().sum(),
+            requests: 0,
+            previous_requests: self.requests[..WINDOW_BUCKETS].iter().sum(),
+            boundary_requests: 0,
+        };
+        (0..=WINDOW_BUCKETS).map(move |first| {
+            counts.extra += self.extra[first + ARRIVAL_LAG_BUCKETS];
+            counts.requests += counts.boundary_requests;
+            counts.boundary_requests = self.requests[first];
+            counts.previous_requests -= counts.boundary_requests;
+            if first > 0 {
+                counts.previous_requests += self.requests[first + WINDOW_BUCKETS - 1];
+            }
+            counts
+        })
+    }
+
+    /// Begins the buckets up to that of `now`.
+    fn advance(&mut self, now: Timestamp) {
+        let bucket_us = self.bucket_duration.as_micros().max(1);
+        let bucket = (now.since_epoch().as_micros() / bucket_us) as u64;
+        let begun = bucket.saturating_sub(self.current);
+        if begun == 0 {
+            return;
+        }
+        self.current = bucket;
+        let begun = begun.min(KEPT_BUCKETS as u64) as usize;
+        for counts in [&mut self.requests, &mut self.extra] {
+            counts.rotate_right(begun % KEPT_BUCKETS);
+            counts[..begun].fill(0);
+        }
+    }
+}
--- a/crates/thornbridge-core/src/gateway/budget/mod.rs
+++ b/crates/thornbridge-core/src/gateway/budget/mod.rs
@@ -1,9 +1,14 @@
 //! Retry budget: limits extra attempts (retries and hedges) per service, over all nodes.
 //!
 //! Within any window, all nodes together may send a service `ratio` extra attempts for each request,
-//! plus `slack`. Each node counts its own requests towards the ratio. The slack is divided among the
-//! members; the shares must never add up to more than the slack, even if nodes restart or lose sight
-//! of each other:
+//! plus `slack`. The requests are those of that window, of the one before, or of the one that begins
+//! half a window earlier: the largest of the three counts, summed over all nodes. If each node took the
+//! one with most of its own requests, then nodes with requests at different times would take different
+//! ones, and their sum could exceed the budget. Therefore every node uses the same weighted mean of two,
+//! in every window that contains the present.
+//!
+//! The slack is divided among the members; the shares must never add up to more than the slack, even if
+//! nodes restart or lose sight of each other:
 //!
 //! - The slack is divided by the highest number of members seen by this process, since lost members
 //!   may still be running and using their shares.
@@ -16,13 +21,14 @@
 //! smaller than the number of nodes can be used. The probability is low enough for the sum of all
 //! nodes' grants to stay below the slack.
 
+mod history;
 mod usage;
 
 pub(super) use usage::ServiceUsage;
 
 use super::parameters::BudgetParameters;
-use super::window::SumWindow;
 use crate::time::Timestamp;
+use history::{History, WindowCounts};
 use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -33,13 +39,9 @@
 /// Standard deviations by which the expected sum of all nodes' draws stays below the slack.
 const DRAW_DEVIATIONS: f64 = 4.0;
 
-/// Buckets per window.
-const WINDOW_BUCKETS: u32 = 40;
-
 #[derive(Debug)]
 struct ServiceBudget {
-    requests: SumWindow,
-    extra: SumWindow,
+    history: History,
     /// Counts since the last report.
     usage: ServiceUsage,
 }
@@ -136,7 +138,7 @@
     /// Counts a request for a service.
     pub(super) fn record_request(&mut self, now: Timestamp, service: ServiceKey) {
         let budget = self.budget(service);
-        budget.requests.add(now, 1);
+        budget.history.add_request(now);
         budget.usage.requests += 1;
     }
 
@@ -144,15 +146,19 @@
     pub(super) fn allows(&mut self, now: Timestamp, service: ServiceKey) -> bool {
         let settling = self.is_settling(now);
         let slack = self.slack_allowance(service);
-        let (ratio, used_share) = (self.parameters.ratio, self.parameters.used_share);
-        let budget = self.budget(service);
-        let earned = ratio * budget.requests.sum(now) as f64;
-        let extra = budget.extra.sum(now) as f64;
-        let limit = match settling {
-            true => (1.0 - used_share) * earned,
-            false => used_share * earned + slack,
+        let used_share = self.parameters.used_share;
+        let (earned_share, slack) = match settling {
+            true => (1.0 - used_share, 0.0),
+            false => (used_share, slack),
         };
-        let allowed = extra + 1.0 <= limit;
+        let per_request = earned_share * self.parameters.ratio;
+        let previous_share = self.parameters.previous_share;
+        let fits = |counts: WindowCounts| {
+            let requests = counts.mean_requests(previous_share);
+            f64::from(counts.extra) + 1.0 <= per_request * requests + slack
+        };
+        let budget = self.budget(service);
+        let allowed = budget.history.windows(now).all(fits);
         budget.usage.denied += u64::from(!allowed);
         allowed
     }
@@ -164,7 +170,7 @@
             return false;
         }
         let budget = self.budget(service);
-        budget.extra.add(now, 1);
+        budget.history.add_extra(now);
         budget.usage.extra += 1;
         true
     }
@@ -181,14 +187,11 @@
     }
 
     fn budget(&mut self, service: ServiceKey) -> &mut ServiceBudget {
-        let bucket_duration = self.parameters.window / WINDOW_BUCKETS;
-        self.services
-            .entry(service)
-            .or_insert_with(|| ServiceBudget {
-                requests: SumWindow::new(bucket_duration, WINDOW_BUCKETS),
-                // Longer than the window, since servers may count an attempt later than this node.
-                extra: SumWindow::new(bucket_duration, WINDOW_BUCKETS + 2),
-                usage: ServiceUsage::default(),
-            })
+        let window = self.parameters.window;
+        let services = self.services.entry(service);
+        services.or_insert_with(|| ServiceBudget {
+            history: History::new(window),
+            usage: ServiceUsage::default(),
+        })
     }
 }
