--- a/crates/thornbridge-core/src/gateway/budget/history.rs
+++ b/crates/thornbridge-core/src/gateway/budget/history.rs
@@ -15,22 +15,8 @@
 pub(super) struct WindowCounts {
     /// Extra attempts that servers may count in the window.
     pub(super) extra: u32,
-    /// Requests that certainly fall into the window.
+    /// Requests that certainly fall into the window or into the one before.
     pub(super) requests: u32,
-    /// Requests that certainly fall into the window before.
-    pub(super) previous_requests: u32,
-    /// Requests of the bucket in which the window begins: each falls into one of the two windows.
-    pub(super) boundary_requests: u32,
-}
-
-impl WindowCounts {
-    /// Weighted mean of the requests of the window and of the one before.
-    pub(super) fn mean_requests(&self, previous_share: f64) -> f64 {
-        let current_share = 1.0 - previous_share;
-        current_share * f64::from(self.requests)
-            + previous_share * f64::from(self.previous_requests)
-            + current_share.min(previous_share) * f64::from(self.boundary_requests)
-    }
 }
 
 /// Counts of one service.
@@ -65,26 +51,20 @@
         self.extra[0] += 1;
     }
 
-    /// Counts of the windows that contain `now`, by the age of their first bucket.
+    /// Counts of the windows that contain `now`, the latest first.
     ///
-    /// A window may begin and end anywhere in a bucket. Extra attempts of all buckets that it touches
-    /// are counted, and only requests of buckets that lie in it as a whole.
+    /// A window may begin anywhere in a bucket. Extra attempts of the whole bucket are counted, and
+    /// those that servers may have counted later; requests of the bucket in which the window before
+    /// begins are not.
     pub(super) fn windows(&mut self, now: Timestamp) -> impl Iterator<Item = WindowCounts> + '_ {
         self.advance(now);
         let mut counts = WindowCounts {
             extra: self.extra[..ARRIVAL_LAG_BUCKETS].iter().sum(),
-            requests: 0,
-            previous_requests: self.requests[..WINDOW_BUCKETS].iter().sum(),
-            boundary_requests: 0,
+            requests: self.requests[..WINDOW_BUCKETS - 1].iter().sum(),
         };
         (0..=WINDOW_BUCKETS).map(move |first| {
             counts.extra += self.extra[first + ARRIVAL_LAG_BUCKETS];
-            counts.requests += counts.boundary_requests;
-            counts.boundary_requests = self.requests[first];
-            counts.previous_requests -= counts.boundary_requests;
-            if first > 0 {
-                counts.previous_requests += self.requests[first + WINDOW_BUCKETS - 1];
-            }
+            counts.requests += self.requests[first + WINDOW_BUCKETS - 1];
             counts
         })
     }
--- a/crates/thornbridge-core/src/gateway/budget/mod.rs
+++ b/crates/thornbridge-core/src/gateway/budget/mod.rs
@@ -4,8 +4,8 @@
 //! plus `slack`. The requests are those of that window, of the one before, or of the one that begins
 //! half a window earlier: the largest of the three counts, summed over all nodes. If each node took the
 //! one with most of its own requests, then nodes with requests at different times would take different
-//! ones, and their sum could exceed the budget. Therefore every node uses the same weighted mean of two,
-//! in every window that contains the present.
+//! ones, and their sum could exceed the budget. Therefore every node uses the mean of the first two,
+//! which is never above the largest, and keeps to it in every window that contains the present.
 //!
 //! The slack is divided among the members; the shares must never add up to more than the slack, even if
 //! nodes restart or lose sight of each other:
@@ -151,11 +151,10 @@
             true => (1.0 - used_share, 0.0),
             false => (used_share, slack),
         };
-        let per_request = earned_share * self.parameters.ratio;
-        let previous_share = self.parameters.previous_share;
+        let earned_by_request = earned_share * self.parameters.ratio;
         let fits = |counts: WindowCounts| {
-            let requests = counts.mean_requests(previous_share);
-            f64::from(counts.extra) + 1.0 <= per_request * requests + slack
+            let requests = f64::from(counts.requests) / 2.0;
+            f64::from(counts.extra) + 1.0 <= earned_by_request * requests + slack
         };
         let budget = self.budget(service);
         let allowed = budget.history.windows(now).all(fits);
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -258,10 +258,6 @@
     /// Share of the budget that is used; the rest covers attempts that reach servers later than
     /// they are counted.
     pub used_share: f64,
-    /// Weight of the requests of the previous window, against those of the window itself. All nodes
-    /// must use the same weight. With a greater one more attempts can be used at once, with a smaller
-    /// one sooner after requests begin.
-    pub previous_share: f64,
     /// Windows after startup in which only the share left by `used_share` may be used, since the
     /// previous process may have used the rest.
     pub settling_windows: f64,
@@ -274,7 +270,6 @@
             slack: 10.0,
             window: Duration::from_secs(10),
             used_share: 0.85,
-            previous_share: 0.5,
             settling_windows: 1.05,
         }
     }
