--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -1,7 +1,7 @@
 //! Choice of the server for a part, and queueing for its connections.
 
 use super::attempts::Attempt;
-use super::part::PartState;
+use super::part::{Part, PartState};
 use super::request::Request;
 use super::{AttemptTarget, Context, Exchanges, is_repeatable};
 use crate::gateway::action::GatewayAction;
@@ -66,7 +66,8 @@
         self.queue_or_send(context, request, index, choice.server, cause);
     }
 
-    /// Sends a part to a server or queues it there, charging the budget for an extra attempt.
+    /// Sends a part to a server, or queues it there until a connection is idle. An extra attempt is
+    /// charged to the budget when it is sent, since the budget bounds arrivals at servers.
     fn queue_or_send(
         &mut self,
         context: &mut Context<'_>,
@@ -75,28 +76,17 @@
         server: ServerKey,
         cause: AttemptCause,
     ) {
-        let extra = request.parts[index].is_extra();
-        if extra && !self.charge_budget(context, request, index) {
+        if !has_budget(context, &request.parts[index]) {
+            self.budget_denied(context, request, index);
             return;
         }
-        self.queue_or_send_charged(context, request, index, server, cause);
-    }
-
-    fn queue_or_send_charged(
-        &mut self,
-        context: &mut Context<'_>,
-        request: &mut Request,
-        index: usize,
-        server: ServerKey,
-        cause: AttemptCause,
-    ) {
         match context
             .servers
             .acquire_connection(context.now, context.actions, server)
         {
             AcquireOutcome::Idle(connection) => {
                 let target = AttemptTarget { server, connection };
-                self.send(context, request, index, target, cause);
+                self.charge_and_send(context, request, index, target, cause);
             }
             AcquireOutcome::Pending => {
                 let expected = self.expected_latency(context, request, server);
@@ -117,20 +107,24 @@
         }
     }
 
-    /// Charges the budget for an extra attempt. If denied, the part is checked again later; a
-    /// request of one part with no attempt in flight fails instead, unless it is a caller's retry.
-    fn charge_budget(
+    fn charge_and_send(
         &mut self,
         context: &mut Context<'_>,
         request: &mut Request,
         index: usize,
-    ) -> bool {
-        let part = &mut request.parts[index];
-        let charged = part.charged || part.take_lent(context.now);
-        if charged || context.budget.try_take(context.now, part.service) {
-            part.charged = true;
-            return true;
+        target: AttemptTarget,
+        cause: AttemptCause,
+    ) {
+        if charge_budget(context, &mut request.parts[index]) {
+            self.send(context, request, index, target, cause);
+        } else {
+            self.budget_denied(context, request, index);
         }
+    }
+
+    /// Schedules another check of a part whose extra attempt the budget denied; a request of one part
+    /// with no attempt in flight fails instead, unless it is a caller's retry.
+    fn budget_denied(&self, context: &Context<'_>, request: &mut Request, index: usize) {
         request.budget_denials += 1;
         let may_wait = request.is_gather() || request.is_caller_retry();
         let part = &mut request.parts[index];
@@ -140,7 +134,6 @@
         } else {
             part.state = PartState::Failed;
         }
-        false
     }
 
     pub(super) fn send(
@@ -179,7 +172,6 @@
         part.in_flight.push(attempt);
         part.tried.push(target.server);
         part.sent += 1;
-        part.charged = false;
         part.check_at = may_hedge.then_some(hedge_at);
         context.actions.push_back(GatewayAction::Send {
             connection: target.connection,
@@ -208,7 +200,8 @@
             .servers
             .choose(context.now, context.random, service, work, &excluded);
         request.parts[index].check_at = Some(context.now + interval);
-        let Some(other) = other.filter(|other| !other.silent) else {
+        let may_move = has_budget(context, &request.parts[index]);
+        let Some(other) = other.filter(|other| may_move && !other.silent) else {
             context
                 .servers
                 .open_for_queued(context.now, context.actions, queued_at);
@@ -219,8 +212,7 @@
             .remove_queued(queued_at, request.caller, index);
         let part = &mut request.parts[index];
         part.state = PartState::NeedsAttempt(cause);
-        // The budget was charged for an extra attempt when the part was first queued.
-        self.queue_or_send_charged(context, request, index, other.server, cause);
+        self.queue_or_send(context, request, index, other.server, cause);
     }
 
     /// Whether the route allows another attempt of a part.
@@ -321,6 +313,9 @@
         cause: AttemptCause,
         server_accepts: bool,
     ) {
+        let part = &mut request.parts[index];
+        part.state = PartState::NeedsAttempt(cause);
+        part.check_at = None;
         if server_accepts
             && Self::may_send_now(context, request)
             && let AcquireOutcome::Idle(connection) =
@@ -329,12 +324,8 @@
                     .acquire_connection(context.now, context.actions, server)
         {
             let target = AttemptTarget { server, connection };
-            self.send(context, request, index, target, cause);
-            return;
+            self.charge_and_send(context, request, index, target, cause);
         }
-        let part = &mut request.parts[index];
-        part.state = PartState::NeedsAttempt(cause);
-        part.check_at = None;
     }
 
     /// Moves the parts queued for a server that is leaving or unreachable to other servers.
@@ -349,6 +340,21 @@
     }
 }
 
+/// Whether the next attempt of a part is its first, was lent, or is within the budget.
+fn has_budget(context: &mut Context<'_>, part: &Part) -> bool {
+    !part.is_extra()
+        || part.has_lent(context.now)
+        || context.budget.allows(context.now, part.service)
+}
+
+/// Charges the next attempt of a part, if it is an extra one; `false` if the budget denies it.
+#[must_use]
+fn charge_budget(context: &mut Context<'_>, part: &mut Part) -> bool {
+    !part.is_extra()
+        || part.take_lent(context.now)
+        || context.budget.try_take(context.now, part.service)
+}
+
 pub(super) fn remove_in_flight(in_flight: &mut Vec<AttemptId>, attempt: AttemptId) {
     in_flight.retain(|other| *other != attempt);
 }
--- a/crates/thornbridge-core/src/gateway/exchange/part.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/part.rs
@@ -50,8 +50,6 @@
     pub(super) last_failure: Option<AttemptOutcome>,
     /// Reply of a failed server, forwarded if no better one comes.
     pub(super) failed_reply: Option<Box<ServerReply>>,
-    /// Whether the budget was charged for an extra attempt that is not sent yet.
-    pub(super) charged: bool,
     /// Unused extra attempts paid for by the coordinator.
     lent: u32,
     lent_until: Timestamp,
@@ -59,6 +57,8 @@
     pub(super) budget_denied: bool,
     /// Attempts that other nodes may have sent.
     pub(super) prior_attempts: u32,
+    /// Whether the owner sent the part to no server.
+    unsent_at_owner: bool,
     /// Whether servers rejected the part when its owner sent it.
     pub(super) rejected_at_owner: bool,
     /// Whether the coordinator knows the part's result.
@@ -77,11 +77,11 @@
             check_at: None,
             last_failure: None,
             failed_reply: None,
-            charged: false,
             lent: 0,
             lent_until: Timestamp::ZERO,
             budget_denied: false,
             prior_attempts: 0,
+            unsent_at_owner: false,
             rejected_at_owner: false,
             reported: false,
         }
@@ -128,10 +128,15 @@
         self.lent_until = now + LENT_ATTEMPT_LIFETIME;
     }
 
+    /// Whether an attempt paid for by the coordinator can be used.
+    pub(super) fn has_lent(&self, now: Timestamp) -> bool {
+        self.lent > 0 && now <= self.lent_until
+    }
+
     /// Consumes a lent attempt; `false` if there is none.
     #[must_use]
     pub(super) fn take_lent(&mut self, now: Timestamp) -> bool {
-        let available = self.lent > 0 && now <= self.lent_until;
+        let available = self.has_lent(now);
         self.lent -= u32::from(available);
         available
     }
@@ -157,7 +162,8 @@
     /// Whether another attempt is charged to the budget. Rejected attempts make the next one extra,
     /// because servers count them too.
     pub(super) fn is_extra(&self) -> bool {
-        self.prior_attempts + self.sent > 0 || self.rejected_at_owner
+        let may_have_arrived = self.prior_attempts > 0 && !self.unsent_at_owner;
+        may_have_arrived || self.rejected_at_owner || self.sent > 0
     }
 
     /// Failure of the part as reported to the coordinator.
@@ -172,8 +178,7 @@
     /// Applies an owner's failure: a shard that no server can have run is retried on this node.
     pub(super) fn apply_owner_failure(&mut self, failure: ShardFailure, attempts: u32) {
         self.prior_attempts = attempts;
-        // The first attempt of an unsent shard is not charged.
-        self.charged = failure == ShardFailure::Unsent;
+        self.unsent_at_owner = failure == ShardFailure::Unsent;
         self.rejected_at_owner = failure == ShardFailure::Rejected;
         self.state = match failure {
             ShardFailure::Unsent => PartState::NeedsAttempt(AttemptCause::First),
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -15,6 +15,7 @@
 mod queues;
 mod registries;
 mod restarts;
+mod retries;
 mod routing;
 mod scarcity;
 mod slice_support;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/tests/retries.rs
@@ -0,0 +1,47 @@
+//! Retries of plain requests under the budget of extra attempts.
+
+use super::support::{Harness, route, service, verdict};
+use crate::driver_action::CallerId;
+use crate::gateway::GatewayParameters;
+use crate::gateway::event::{GatewayEvent, ReplyVerdict};
+use std::time::Duration;
+use thornbridge_config::routes::Repeatability::AtMostOnce;
+
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Gateway with two servers and one extra attempt per window.
+fn one_extra_attempt_per_window() -> Harness {
+    let mut retried = route("/", service("s"), AtMostOnce);
+    retried.time_limit = WINDOW * 10;
+    let mut harness = Harness::serving(vec![retried], &[("s1", "s"), ("s2", "s")]);
+    let mut parameters = GatewayParameters::default();
+    parameters.budget.ratio = 0.0;
+    parameters.budget.slack = 1.2;
+    parameters.budget.window = WINDOW;
+    parameters.budget.settling_windows = 0.0;
+    let parameters = Box::new(parameters);
+    harness.event(GatewayEvent::Reconfigured { parameters });
+    harness
+}
+
+fn reject(harness: &mut Harness, caller: CallerId) {
+    let first = harness.sent_for(caller)[0].attempt;
+    harness.reply(first, verdict(ReplyVerdict::NotRun));
+}
+
+/// Guards against retries that are charged long before they are sent, and arrive beside those of a
+/// later window.
+#[test]
+fn queued_retry_is_charged_when_it_is_sent() {
+    let mut harness = one_extra_attempt_per_window();
+    harness.hold_connects();
+    let queued = harness.send_request_with_timeout("/x", WINDOW * 8);
+    let other = harness.send_request_with_timeout("/x", WINDOW * 8);
+    reject(&mut harness, queued);
+    assert_eq!(harness.sent_for(queued).len(), 1, "no connection is free");
+    harness.advance(WINDOW + WINDOW / 5);
+    reject(&mut harness, other);
+    harness.advance(WINDOW / 10);
+    let retries = harness.sent.len() - 2;
+    assert_eq!(retries, 1);
+}
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -38,7 +38,7 @@
     pub caller_timeout: Duration,
 }
 
-/// Gateway under test. Connections open at once; other actions are recorded.
+/// Gateway under test. Connections open at once unless they are held; other actions are recorded.
 pub struct Harness {
     pub gateway: Gateway,
     pub now: Timestamp,
@@ -58,6 +58,7 @@
     pub open: Vec<ConnectionId>,
     /// Number of further connections to reset right after they open.
     resets_left: u32,
+    holds_connects: bool,
     /// Number of timer events.
     pub timers: u32,
     next_caller: u64,
@@ -178,6 +179,7 @@
             opened: Vec::new(),
             open: Vec::new(),
             resets_left: 0,
+            holds_connects: false,
             timers: 0,
             next_caller: 0,
         };
@@ -213,15 +215,8 @@
                 address,
             } => {
                 self.opened.push(address);
-                let connect_time = millis(1);
-                self.open.push(connection);
-                self.event(GatewayEvent::ConnectionOpened {
-                    connection,
-                    connect_time,
-                });
-                if self.resets_left > 0 {
-                    self.resets_left -= 1;
-                    self.close_by_server(connection);
+                if !self.holds_connects {
+                    self.connection_opened(connection);
                 }
             }
             GatewayAction::Close { connection } => {
@@ -259,6 +254,24 @@
         }
     }
 
+    fn connection_opened(&mut self, connection: ConnectionId) {
+        self.open.push(connection);
+        let connect_time = millis(1);
+        self.event(GatewayEvent::ConnectionOpened {
+            connection,
+            connect_time,
+        });
+        if self.resets_left > 0 {
+            self.resets_left -= 1;
+            self.close_by_server(connection);
+        }
+    }
+
+    /// Leaves new connections pending.
+    pub fn hold_connects(&mut self) {
+        self.holds_connects = true;
+    }
+
     /// Adds peers and sets the processor share, so that gathers are divided; the budget of extra
     /// attempts is large.
     pub fn join_peers_with_processor_share(&mut self, processor_share: f64, peers: u8) {
