--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -1,7 +1,7 @@
 //! Choice of the server for a part, and queueing for its connections.
 
 use super::attempts::Attempt;
-use super::part::{Part, PartState};
+use super::part::PartState;
 use super::request::Request;
 use super::{AttemptTarget, Context, Exchanges, is_repeatable};
 use crate::gateway::action::GatewayAction;
@@ -66,8 +66,8 @@
         self.queue_or_send(context, request, index, choice.server, cause);
     }
 
-    /// Sends a part to a server, or queues it there until a connection is idle. An extra attempt is
-    /// charged to the budget when it is sent, since the budget bounds arrivals at servers.
+    /// Sends a part to a server, or queues it there until a connection is idle; charges the budget for
+    /// an extra attempt.
     fn queue_or_send(
         &mut self,
         context: &mut Context<'_>,
@@ -76,8 +76,7 @@
         server: ServerKey,
         cause: AttemptCause,
     ) {
-        if !has_budget(context, &request.parts[index]) {
-            self.budget_denied(context, request, index);
+        if !self.charge_budget(context, request, index) {
             return;
         }
         match context
@@ -86,7 +85,7 @@
         {
             AcquireOutcome::Idle(connection) => {
                 let target = AttemptTarget { server, connection };
-                self.charge_and_send(context, request, index, target, cause);
+                self.send(context, request, index, target, cause);
             }
             AcquireOutcome::Pending => {
                 let expected = self.expected_latency(context, request, server);
@@ -107,24 +106,24 @@
         }
     }
 
-    fn charge_and_send(
-        &mut self,
+    /// Charges the budget if the next attempt is an extra one. If denied, the part is checked again
+    /// later; a request of one part with no attempt in flight fails instead, unless it is a caller's
+    /// retry.
+    #[must_use]
+    fn charge_budget(
+        &self,
         context: &mut Context<'_>,
         request: &mut Request,
         index: usize,
-        target: AttemptTarget,
-        cause: AttemptCause,
-    ) {
-        if charge_budget(context, &mut request.parts[index]) {
-            self.send(context, request, index, target, cause);
-        } else {
-            self.budget_denied(context, request, index);
+    ) -> bool {
+        let part = &mut request.parts[index];
+        if !part.needs_charge(context.now) {
+            return true;
+        }
+        if part.take_lent(context.now) || context.budget.try_take(context.now, part.service) {
+            part.set_charged(context.now);
+            return true;
         }
-    }
-
-    /// Schedules another check of a part whose extra attempt the budget denied; a request of one part
-    /// with no attempt in flight fails instead, unless it is a caller's retry.
-    fn budget_denied(&self, context: &Context<'_>, request: &mut Request, index: usize) {
         request.budget_denials += 1;
         let may_wait = request.is_gather() || request.is_caller_retry();
         let part = &mut request.parts[index];
@@ -134,6 +133,7 @@
         } else {
             part.state = PartState::Failed;
         }
+        false
     }
 
     pub(super) fn send(
@@ -168,10 +168,7 @@
         let hedge_at = context.now + self.hedge_delay(context, request, target.server);
         let may_hedge = is_repeatable(&request.route);
         let part = &mut request.parts[index];
-        part.state = PartState::InFlight;
-        part.in_flight.push(attempt);
-        part.tried.push(target.server);
-        part.sent += 1;
+        part.record_sent(attempt, target.server);
         part.check_at = may_hedge.then_some(hedge_at);
         context.actions.push_back(GatewayAction::Send {
             connection: target.connection,
@@ -200,7 +197,9 @@
             .servers
             .choose(context.now, context.random, service, work, &excluded);
         request.parts[index].check_at = Some(context.now + interval);
-        let may_move = has_budget(context, &request.parts[index]);
+        let part = &request.parts[index];
+        let may_move =
+            !part.needs_charge(context.now) || context.budget.allows(context.now, service);
         let Some(other) = other.filter(|other| may_move && !other.silent) else {
             context
                 .servers
@@ -324,7 +323,10 @@
                     .acquire_connection(context.now, context.actions, server)
         {
             let target = AttemptTarget { server, connection };
-            self.charge_and_send(context, request, index, target, cause);
+            // The charge may have lapsed while the part was queued.
+            if self.charge_budget(context, request, index) {
+                self.send(context, request, index, target, cause);
+            }
         }
     }
 
@@ -340,21 +342,6 @@
     }
 }
 
-/// Whether the next attempt of a part is its first, was lent, or is within the budget.
-fn has_budget(context: &mut Context<'_>, part: &Part) -> bool {
-    !part.is_extra()
-        || part.has_lent(context.now)
-        || context.budget.allows(context.now, part.service)
-}
-
-/// Charges the next attempt of a part, if it is an extra one; `false` if the budget denies it.
-#[must_use]
-fn charge_budget(context: &mut Context<'_>, part: &mut Part) -> bool {
-    !part.is_extra()
-        || part.take_lent(context.now)
-        || context.budget.try_take(context.now, part.service)
-}
-
 pub(super) fn remove_in_flight(in_flight: &mut Vec<AttemptId>, attempt: AttemptId) {
     in_flight.retain(|other| *other != attempt);
 }
--- a/crates/thornbridge-core/src/gateway/exchange/part.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/part.rs
@@ -10,6 +10,9 @@
 use thornbridge_proto::AttemptId;
 use thornbridge_proto::peer::slice::ShardFailure;
 
+/// Time within which a charged attempt must be sent, so that servers count it in a window for which
+/// the budget was charged.
+const CHARGE_LIFETIME: Duration = Duration::from_millis(400);
 /// Lifetime of a lent attempt: short enough to fall into the budget window of its lender.
 const LENT_ATTEMPT_LIFETIME: Duration = Duration::from_secs(1);
 
@@ -41,6 +44,8 @@
     pub(super) in_flight: Vec<AttemptId>,
     /// Servers to which the part was sent.
     pub(super) tried: Vec<ServerKey>,
+    /// Time until which the budget is charged for an extra attempt that is not sent yet.
+    charged_until: Option<Timestamp>,
     /// Number of attempts sent.
     pub(super) sent: u32,
     /// Sent attempts that certainly did not run.
@@ -72,6 +77,7 @@
             state: PartState::NeedsAttempt(AttemptCause::First),
             in_flight: Vec::new(),
             tried: Vec::new(),
+            charged_until: None,
             sent: 0,
             not_run: 0,
             check_at: None,
@@ -128,15 +134,30 @@
         self.lent_until = now + LENT_ATTEMPT_LIFETIME;
     }
 
-    /// Whether an attempt paid for by the coordinator can be used.
-    pub(super) fn has_lent(&self, now: Timestamp) -> bool {
-        self.lent > 0 && now <= self.lent_until
+    /// Whether the next attempt is an extra one that the budget must be charged for.
+    pub(super) fn needs_charge(&self, now: Timestamp) -> bool {
+        let charged = self.charged_until.is_some_and(|until| now <= until);
+        self.is_extra() && !charged
+    }
+
+    /// Notes that the budget is charged for the next attempt.
+    pub(super) fn set_charged(&mut self, now: Timestamp) {
+        self.charged_until = Some(now + CHARGE_LIFETIME);
+    }
+
+    /// Notes that an attempt was sent to a server.
+    pub(super) fn record_sent(&mut self, attempt: AttemptId, server: ServerKey) {
+        self.state = PartState::InFlight;
+        self.in_flight.push(attempt);
+        self.tried.push(server);
+        self.sent += 1;
+        self.charged_until = None;
     }
 
     /// Consumes a lent attempt; `false` if there is none.
     #[must_use]
     pub(super) fn take_lent(&mut self, now: Timestamp) -> bool {
-        let available = self.has_lent(now);
+        let available = self.lent > 0 && now <= self.lent_until;
         self.lent -= u32::from(available);
         available
     }
