--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -269,7 +269,7 @@
             ratio: 0.1,
             slack: 10.0,
             window: Duration::from_secs(10),
-            used_share: 0.85,
+            used_share: 0.9,
             settling_windows: 1.05,
         }
     }
