--- a/crates/thornbridge-core/src/gateway/tests/retries.rs
+++ b/crates/thornbridge-core/src/gateway/tests/retries.rs
@@ -5,7 +5,7 @@
 use crate::gateway::GatewayParameters;
 use crate::gateway::event::{GatewayEvent, ReplyVerdict};
 use std::time::Duration;
-use thornbridge_config::routes::Repeatability::AtMostOnce;
+use thornbridge_config::routes::Repeatability::{AtMostOnce, Repeatable};
 
 const WINDOW: Duration = Duration::from_secs(1);
 
@@ -45,3 +45,18 @@
     let retries = harness.sent.len() - 2;
     assert_eq!(retries, 1);
 }
+
+/// Guards against attempts that arrive at another service, whose server took the address.
+#[test]
+fn server_whose_address_was_reused_gets_no_more_attempts() {
+    let route = route("/", service("s"), Repeatable);
+    let mut harness = Harness::serving(vec![route], &[("s1", "s")]);
+    for _ in 0..4 {
+        let caller = harness.send_request("/x");
+        if let Some(sent) = harness.sent_for(caller).first() {
+            harness.reply(sent.attempt, verdict(ReplyVerdict::WrongInstance));
+        }
+        harness.advance(WINDOW);
+    }
+    assert_eq!(harness.sent.len(), 1);
+}
