--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -315,18 +315,18 @@
         let part = &mut request.parts[index];
         part.state = PartState::NeedsAttempt(cause);
         part.check_at = None;
+        // Charged again if the charge lapsed in the queue; before a connection is taken, so that a denied
+        // part leaves it to others.
         if server_accepts
             && Self::may_send_now(context, request)
+            && self.charge_budget(context, request, index)
             && let AcquireOutcome::Idle(connection) =
                 context
                     .servers
                     .acquire_connection(context.now, context.actions, server)
         {
             let target = AttemptTarget { server, connection };
-            // The charge may have lapsed while the part was queued.
-            if self.charge_budget(context, request, index) {
-                self.send(context, request, index, target, cause);
-            }
+            self.send(context, request, index, target, cause);
         }
     }
 
--- a/crates/thornbridge-core/src/gateway/tests/retries.rs
+++ b/crates/thornbridge-core/src/gateway/tests/retries.rs
@@ -1,6 +1,6 @@
 //! Retries of plain requests under the budget of extra attempts.
 
-use super::support::{Harness, route, service, verdict};
+use super::support::{Harness, RECORD, answer, route, service, verdict};
 use crate::driver_action::CallerId;
 use crate::gateway::GatewayParameters;
 use crate::gateway::event::{GatewayEvent, ReplyVerdict};
@@ -46,6 +46,25 @@
     assert_eq!(retries, 1);
 }
 
+/// Guards against connections that are taken for a retry which the budget then denies.
+#[test]
+fn denied_queued_retry_leaves_connection_to_others() {
+    let mut harness = one_extra_attempt_per_window();
+    harness.hold_connects();
+    let queued = harness.send_request_with_timeout("/x", WINDOW * 8);
+    let other = harness.send_request_with_timeout("/x", WINDOW * 8);
+    reject(&mut harness, queued);
+    harness.advance(WINDOW + WINDOW / 5);
+    harness.disable_extra_attempts();
+    let answered = harness.sent_for(other)[0].attempt;
+    harness.reply(answered, answer(RECORD));
+    assert_eq!(harness.sent_for(queued).len(), 1, "the retry is denied");
+    harness.send_request("/x");
+    harness.send_request("/x");
+    harness.advance(WINDOW / 2);
+    assert_eq!(harness.sent.len(), 4, "both connections are used");
+}
+
 /// Guards against attempts that arrive at another service, whose server took the address.
 #[test]
 fn server_whose_address_was_reused_gets_no_more_attempts() {
