Log: attempts that reached a server of another service, in the use of the budget

The sum of all nodes' extra attempts for a service can be within the budget while its servers see more: an attempt at an address that another service has is charged to the service that it was meant for. The count tells such an excess from attempts that arrive late.

--- a/crates/thornbridge-core/src/gateway/budget/mod.rs
+++ b/crates/thornbridge-core/src/gateway/budget/mod.rs
@@ -174,6 +174,11 @@
         true
     }
 
+    /// Counts an attempt for a service that reached a server of another one.
+    pub(super) fn record_misdirected(&mut self, service: ServiceKey) {
+        self.budget(service).usage.misdirected += 1;
+    }
+
     /// Use since the last report, for the services that wanted most extra attempts; empty until a
     /// window has passed.
     pub(super) fn report_usage(&mut self, now: Timestamp) -> Vec<(ServiceKey, ServiceUsage)> {
--- a/crates/thornbridge-core/src/gateway/budget/usage.rs
+++ b/crates/thornbridge-core/src/gateway/budget/usage.rs
@@ -20,6 +20,8 @@
     pub(in crate::gateway) extra: u64,
     /// Denials in the window; an attempt that waits may be denied repeatedly.
     pub(in crate::gateway) denied: u64,
+    /// Attempts meant for the service that reached a server of another one in the window.
+    pub(in crate::gateway) misdirected: u64,
 }
 
 impl ServiceUsage {
@@ -33,7 +35,7 @@
     }
 
     fn wanted(&self) -> u64 {
-        self.extra + self.denied
+        self.extra + self.denied + self.misdirected
     }
 }
 
--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -304,6 +304,7 @@
                 );
             }
             AttemptOutcome::WrongInstance => {
+                context.budget.record_misdirected(server.service);
                 self.add_failure_cost(
                     context,
                     record.target.server,
--- a/crates/thornbridge-core/src/gateway/members.rs
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -61,6 +61,7 @@
                 previous_requests: usage.previous_requests,
                 extra: usage.extra,
                 denied: usage.denied,
+                misdirected: usage.misdirected,
                 members: self.budget.member_bound(),
             };
             self.actions.push_back(GatewayAction::Changed(change));
--- a/crates/thornbridge-core/src/gateway/telemetry.rs
+++ b/crates/thornbridge-core/src/gateway/telemetry.rs
@@ -353,6 +353,8 @@
         extra: u64,
         /// Denials; an attempt that waits may be denied repeatedly.
         denied: u64,
+        /// Attempts that reached a server of another service.
+        misdirected: u64,
         /// Number of nodes that share the slack; `None` while unknown.
         members: Option<usize>,
     },
--- a/crates/thornbridge-core/src/gateway/tests/budgets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/budgets.rs
@@ -286,12 +286,14 @@
         budget.record_request(now, SERVICE);
     }
     let taken = take_all(&mut budget, now.since_epoch());
+    budget.record_misdirected(SERVICE);
     assert_eq!(budget.report_usage(now), []);
     let expected = ServiceUsage {
         requests: 20,
         previous_requests: 1,
         extra: taken as u64,
         denied: 100 - taken as u64,
+        misdirected: 1,
     };
     let next = reported + WINDOW;
     assert_eq!(budget.report_usage(next), [(SERVICE, expected)]);
--- a/crates/thornbridge-node/src/gateway/log_lines.rs
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -214,6 +214,7 @@
             previous_requests,
             extra,
             denied,
+            misdirected,
             members,
         } => log::info!(
             service = service.as_str(),
@@ -221,6 +222,7 @@
             requests_before = *previous_requests,
             extra = *extra,
             denied = *denied,
+            misdirected = *misdirected,
             sharers = members.unwrap_or_default();
             "budget use"
         ),
