--- a/crates/thornbridge-rehearsal/src/gateway/fault.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/fault.rs
@@ -1,6 +1,7 @@
 //! Faults, and planned work that may look like one.
 
 use std::time::Duration;
+use thornbridge_proto::ServiceName;
 
 /// Something that happens to the deployment.
 #[derive(Clone, Debug, PartialEq)]
@@ -62,6 +63,15 @@
         /// Whether it falls silent instead of refusing connections.
         dark: bool,
     },
+    /// Servers crash, and their addresses go to servers of another service.
+    ReuseAddresses {
+        /// Positions of the servers.
+        servers: Vec<usize>,
+        /// Service of the servers that take the addresses.
+        service: ServiceName,
+        /// Time until they do.
+        after: Duration,
+    },
     /// Every n-th server works more slowly.
     Slow {
         /// Every n-th.
--- a/crates/thornbridge-rehearsal/src/gateway/world.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world.rs
@@ -7,6 +7,7 @@
 mod processor;
 mod queue;
 mod restoring;
+mod reusing;
 mod serving;
 
 use super::callers::{Try, next_arrival};
--- a/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/faults.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use thornbridge_core::Timestamp;
 use thornbridge_core::gateway::{ExchangeFailure, GatewayEvent, SourceFailure};
-use thornbridge_proto::ZoneName;
+use thornbridge_proto::{ServiceName, ZoneName};
 
 /// Time from the start of new shards to the version that names them.
 const REPARTITION_AFTER: Duration = Duration::from_millis(3_200);
@@ -36,6 +36,7 @@
     Leave { server: usize, silent: bool },
     EndServer(usize),
     CrashedReturns(usize),
+    TakeAddress { server: usize, service: ServiceName },
     NotSlow(Vec<usize>),
     NoneReject,
     AnswersArrive,
@@ -87,6 +88,11 @@
                 lasts,
                 dark,
             } => self.crash(server, lasts, dark),
+            GatewayFault::ReuseAddresses {
+                servers,
+                service,
+                after,
+            } => self.reuse_addresses(&servers, &service, after),
             GatewayFault::Slow {
                 every,
                 factor,
@@ -233,6 +239,7 @@
             FaultStep::Leave { server, silent } => self.leave(server, silent),
             FaultStep::EndServer(server) => self.end_server(server),
             FaultStep::CrashedReturns(server) => self.crashed_returns(server),
+            FaultStep::TakeAddress { server, service } => self.take_address(server, service),
             FaultStep::NotSlow(servers) => {
                 for server in servers {
                     self.servers[server].slow = 1.0;
@@ -365,7 +372,7 @@
     }
 
     /// Every connection of a server breaks.
-    fn lose_connections(&mut self, server: usize) {
+    pub(super) fn lose_connections(&mut self, server: usize) {
         let lost = std::mem::take(&mut self.servers[server].connections);
         for ((node, life), connection) in lost {
             self.machines[node].connections.remove(&connection);
--- a/crates/thornbridge-rehearsal/src/gateway/world/serving.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/serving.rs
@@ -32,6 +32,7 @@
             return;
         }
         if server.id.as_str() != sent.expected {
+            self.record_arrival(sent, false);
             let reply = plain_reply(ReplyVerdict::WrongInstance, 421);
             self.reply(sent, reply, self.now);
             return;
@@ -54,13 +55,7 @@
             let detail = format!("nobody asked {}", sent.request);
             self.oracle.breaks(Rule::OwnAnswer, detail);
         }
-        self.oracle.arrivals.push(Arrival {
-            at: self.now,
-            request: sent.request,
-            service: service.clone(),
-            server: sent.server,
-            ran: end.is_some(),
-        });
+        self.record_arrival(sent, end.is_some());
         let Some(end) = end else {
             let reply = plain_reply(ReplyVerdict::NotRun, 503);
             self.reply(sent, reply, self.now);
@@ -92,6 +87,16 @@
         self.reply(sent, reply, end);
     }
 
+    fn record_arrival(&mut self, sent: &Sent, ran: bool) {
+        self.oracle.arrivals.push(Arrival {
+            at: self.now,
+            request: sent.request,
+            service: self.servers[sent.server].service.clone(),
+            server: sent.server,
+            ran,
+        });
+    }
+
     fn check_drain(&mut self, sent: &Sent) {
         let server = &self.servers[sent.server];
         let Some(since) = server.leaving_since else {
--- a/crates/thornbridge-rehearsal/tests/gateway/main.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/main.rs
@@ -11,5 +11,6 @@
 mod mixed;
 mod overloads;
 mod rejections;
+mod reused_addresses;
 mod silences;
 mod support;
--- /dev/null
+++ b/crates/thornbridge-rehearsal/tests/gateway/reused_addresses.rs
@@ -0,0 +1,58 @@
+//! Servers crash, and their addresses go to servers of another service while the store is away.
+
+use std::time::Duration;
+use thornbridge_proto::ServiceName;
+use thornbridge_rehearsal::gateway::{
+    GatewayFault, GatewayReport, GatewayScenario, Rule, TimedFault, run,
+};
+
+const SEED_RUNS: u64 = 3;
+/// Time from the end of a server until its address is given to another.
+const REUSE_AFTER: Duration = Duration::from_secs(2);
+
+/// The first server of each shard but one crashes; servers of that one take the addresses.
+fn play(mut scenario: GatewayScenario, others: Vec<TimedFault>) -> GatewayReport {
+    let store_down = GatewayFault::StoreDown {
+        lasts: Duration::from_secs(14),
+        silent: false,
+        lapse: false,
+    };
+    let replicas = scenario.replicas as usize;
+    let reuse = GatewayFault::ReuseAddresses {
+        servers: (1..scenario.shards as usize)
+            .map(|shard| shard * replicas)
+            .collect(),
+        service: ServiceName::new("shard-0-0"),
+        after: REUSE_AFTER,
+    };
+    let mut faults = vec![TimedFault::at(2.0, store_down), TimedFault::at(3.0, reuse)];
+    faults.extend(others);
+    scenario.length = Duration::from_secs(17);
+    run(scenario.with_faults(faults))
+}
+
+fn assert_within_budget(report: &GatewayReport) {
+    let broken = report.broken.iter();
+    let over: Vec<_> = broken.filter(|one| one.rule == Rule::Budget).collect();
+    assert!(over.is_empty(), "{over:?}");
+}
+
+/// Guards against nodes that each keep sending to an address that another service has.
+#[test]
+fn service_that_takes_addresses_stays_within_its_budget() {
+    for seed in 0..SEED_RUNS {
+        let report = play(GatewayScenario::small_teams(seed), Vec::new());
+        assert_within_budget(&report);
+    }
+}
+
+/// Guards against a first attempt of every node at every such address.
+#[test]
+fn service_that_takes_addresses_stays_within_its_budget_with_many_nodes() {
+    for seed in 0..SEED_RUNS {
+        let mut scenario = GatewayScenario::small_teams(seed);
+        scenario.nodes = vec![8, 8, 8];
+        scenario.connections = 80;
+        assert_within_budget(&play(scenario, Vec::new()));
+    }
+}
