A server whose address another has gets no requests until its registry entry changes

Callers saw: searches late and incomplete, and rule BUDGET broken at services that took addresses. A server that crashed leaves its entry behind, for as long as the store is away; its address goes to a server of another service after two seconds. An attempt there is answered 421 and counts at the other service, which no node charged. The node took it as a failure whose cost decays within seconds, and asked again, each time.

Cause: a final answer was handled as a passing failure. 421 says that the server is not at that address; as long as the entry is the same, asking again can give nothing else. The server is now 'displaced': not chosen, its connections closed, its queue moved, until its entry changes (a new run, another address) or goes.

Ruled out: a longer decay of the failure's cost (makes it rarer, bounds nothing, and holds back a server that came back with a new entry).

Test support: servers have different addresses, as they do.

--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -305,12 +305,9 @@
             }
             AttemptOutcome::WrongInstance => {
                 context.budget.record_misdirected(server.service);
-                self.add_failure_cost(
-                    context,
-                    record.target.server,
-                    parameters.unreachable_cost * 4,
-                    "wrong_instance",
-                );
+                context
+                    .servers
+                    .found_displaced(context.actions, record.target.server);
             }
             AttemptOutcome::ServerFailure | AttemptOutcome::Invalid => {
                 self.add_failure_cost(
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -5,6 +5,7 @@
 
 mod choosing;
 mod connections;
+mod displacing;
 mod lifecycle;
 mod queue;
 mod registering;
--- a/crates/thornbridge-core/src/gateway/servers/registering.rs
+++ b/crates/thornbridge-core/src/gateway/servers/registering.rs
@@ -24,10 +24,11 @@
             InstanceState::Draining | InstanceState::Held => Availability::Draining,
         };
         let known = self.find_run(actions, instance, revision, origin);
-        let key = known.unwrap_or_else(|| self.add(now, instance));
+        let key = known.unwrap_or_else(|| self.add(now, instance, revision));
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
+        server.revision = revision;
         if known.is_some() && server.availability == availability {
             return;
         }
@@ -98,7 +99,9 @@
         server.availability = match server.availability {
             Availability::Ready => Availability::Vanished { until },
             Availability::Vanished { .. } => return,
-            Availability::Draining | Availability::Gone => Availability::Gone,
+            Availability::Displaced | Availability::Draining | Availability::Gone => {
+                Availability::Gone
+            }
         };
         self.subset.invalidate(server.service);
         let service = server.service_name.to_string();
@@ -114,12 +117,12 @@
         self.remove_if_unused(key);
     }
 
-    fn add(&mut self, now: Timestamp, instance: &Instance) -> ServerKey {
+    fn add(&mut self, now: Timestamp, instance: &Instance, revision: StoreRevision) -> ServerKey {
         let service = self.service_key(&instance.service);
         let key = ServerKey(self.next_key);
         self.next_key += 1;
         let distance = self.placement.distance_to(&instance.zone);
-        let mut server = Server::new(now, instance, service, distance);
+        let mut server = Server::new(now, instance, revision, service, distance);
         server.evacuated = self.evacuated.contains(&instance.zone);
         self.servers.insert(key, server);
         self.by_id.insert(instance.id.clone(), key);
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -9,7 +9,7 @@
 use crate::time::Timestamp;
 use std::net::SocketAddr;
 use std::time::Duration;
-use thornbridge_proto::peer::view::Instance;
+use thornbridge_proto::peer::view::{Instance, StoreRevision};
 use thornbridge_proto::{AttemptId, BackEndId, ServiceName, ZoneName};
 
 /// Largest change of the logarithm of a slowdown by one observation. One slow answer may be a pause;
@@ -55,6 +55,8 @@
         /// End of the grace period.
         until: Timestamp,
     },
+    /// Another server has its address; takes no requests until its registry entry changes.
+    Displaced,
     /// Leaving; takes no new requests.
     Draining,
     /// Left, or replaced by a later run.
@@ -67,6 +69,7 @@
         match self {
             Self::Ready => "ready",
             Self::Vanished { .. } => "vanished",
+            Self::Displaced => "displaced",
             Self::Draining => "draining",
             Self::Gone => "gone",
         }
@@ -98,6 +101,8 @@
     pub(in crate::gateway) id: BackEndId,
     /// Start of the server process, in Unix milliseconds; 0 if unknown.
     started_ms: u64,
+    /// Revision of the registry entry.
+    pub(super) revision: StoreRevision,
     pub(in crate::gateway) service: ServiceKey,
     pub(in crate::gateway) service_name: ServiceName,
     pub(in crate::gateway) address: SocketAddr,
@@ -141,12 +146,14 @@
     pub(super) fn new(
         now: Timestamp,
         instance: &Instance,
+        revision: StoreRevision,
         service: ServiceKey,
         distance: Distance,
     ) -> Self {
         Self {
             id: instance.id.clone(),
             started_ms: instance.born_ms,
+            revision,
             service,
             service_name: instance.service.clone(),
             address: instance.address,
@@ -193,12 +200,12 @@
         !self.evacuated && !self.is_leaving()
     }
 
-    /// Whether the server is draining or gone.
+    /// Whether the server is displaced, draining or gone.
     pub(super) fn is_leaving(&self) -> bool {
-        matches!(
-            self.availability,
-            Availability::Draining | Availability::Gone
-        )
+        match self.availability {
+            Availability::Displaced | Availability::Draining | Availability::Gone => true,
+            Availability::Ready | Availability::Vanished { .. } => false,
+        }
     }
 
     /// Treats the server as cold at least until the given time.
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/tests/displaced.rs
@@ -0,0 +1,74 @@
+//! Servers whose address another server has.
+
+use super::support::{Harness, answer, instance, millis, route, service, verdict};
+use crate::gateway::event::ReplyVerdict;
+use crate::gateway::{ViewKind, ViewObject};
+use thornbridge_config::routes::Repeatability::Repeatable;
+use thornbridge_proto::peer::view::{InstanceState, StoreRevision};
+
+/// Gateway with these servers of one service.
+fn serving(servers: &[&str]) -> Harness {
+    let servers: Vec<(&str, &str)> = servers.iter().map(|id| (*id, "s")).collect();
+    Harness::serving(vec![route("/", service("s"), Repeatable)], &servers)
+}
+
+fn ready_entry(id: &str, revision: u64) -> ViewObject {
+    let instance = instance(id, "s", InstanceState::Ready);
+    ViewObject::Instance(StoreRevision::without_era(revision), instance)
+}
+
+/// Sends a request and has its first server answer that it is another one.
+fn displace_first(harness: &mut Harness) -> String {
+    let caller = harness.send_request("/x");
+    let first = harness.sent_for(caller)[0].clone();
+    harness.reply(first.attempt, verdict(ReplyVerdict::WrongInstance));
+    first.instance
+}
+
+#[test]
+fn connections_to_displaced_server_are_closed() {
+    let mut harness = serving(&["s1"]);
+    assert!(!harness.open.is_empty());
+    displace_first(&mut harness);
+    assert!(harness.open.is_empty());
+}
+
+#[test]
+fn request_goes_on_to_another_server() {
+    let mut harness = serving(&["s1", "s2"]);
+    let displaced = displace_first(&mut harness);
+    let retry = &harness.sent[1];
+    assert_ne!(retry.instance, displaced);
+    harness.reply(harness.sent[1].attempt, answer(b"whole"));
+    assert_eq!(harness.answers.len(), 1);
+}
+
+/// Guards against requests that wait at a server that will not get them.
+#[test]
+fn requests_queued_at_displaced_server_move_to_another() {
+    let mut harness = serving(&["s1", "s2"]);
+    harness.hold_connects();
+    let callers: Vec<_> = (0..4).map(|_| harness.send_request("/x")).collect();
+    let in_flight = harness.sent.clone();
+    assert_eq!(in_flight.len(), 2, "one connection to each server");
+    harness.reply(in_flight[0].attempt, verdict(ReplyVerdict::WrongInstance));
+    let other = in_flight[1].instance.clone();
+    for answered in 1.. {
+        let Some(sent) = harness.sent.get(answered).cloned() else {
+            break;
+        };
+        assert_eq!(sent.instance, other);
+        harness.reply(sent.attempt, answer(b"whole"));
+    }
+    assert_eq!(harness.answers.len(), callers.len());
+}
+
+#[test]
+fn changed_entry_makes_server_available_again() {
+    let mut harness = serving(&["s1"]);
+    displace_first(&mut harness);
+    harness.watch_reply(ViewKind::Registry, vec![ready_entry("s1", 51)], 51);
+    harness.advance(millis(300));
+    harness.send_request("/x");
+    assert_eq!(harness.sent.len(), 2);
+}
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod dead_connections;
 mod delays;
+mod displaced;
 mod divisions;
 mod eras;
 mod evacuations;
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -76,12 +76,19 @@
     Duration::from_millis(millis)
 }
 
+/// Address of a server, different for each id.
+pub fn server_address(id: &str) -> SocketAddr {
+    let hash = xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+    let [high, middle, low, ..] = hash.to_be_bytes();
+    SocketAddr::from(([10, high, middle, low], 80))
+}
+
 pub fn instance(id: &str, service: &str, state: InstanceState) -> Instance {
     Instance {
         born_ms: 0,
         id: BackEndId::new(id),
         service: ServiceName::new(service),
-        address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        address: server_address(id),
         zone: ZoneName::new("zone"),
         slots: 2,
         state,
