Members tell each other of servers whose address another has

Callers and servers saw: with many nodes, the first attempt of each node at each such address is enough to break BUDGET at the service that took the addresses; nobody charges these.

Cause: what one node's attempt showed was known to that node alone. A node that finds a server displaced now announces it like a changed view, to a few peers of its zone and one of each other zone, and whoever learns it passes it on once. A pull of the registry is answered with the displaced servers too, for members that start. A report names the revision of the entry, so that it does not outlive it.

Builds before this read the message as a departure from the registry, and drop the entry; nothing else on the wire changes.

Ruled out: a view of its own with a digest (old builds end a link on a message that they cannot decode); sending to all members directly (links between all pairs).

--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -52,7 +52,7 @@
             GatewayEvent::Replied { attempt, reply } => {
                 let (exchanges, mut context) = self.exchanges();
                 exchanges.replied(&mut context, attempt, reply);
-                self.reassign_queued_parts();
+                self.announce_displaced();
             }
             GatewayEvent::Failed { attempt, failure } => {
                 let (exchanges, mut context) = self.exchanges();
--- a/crates/thornbridge-core/src/gateway/peer_messages.rs
+++ b/crates/thornbridge-core/src/gateway/peer_messages.rs
@@ -7,7 +7,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_config::routes::RouteConfiguration;
-use thornbridge_proto::peer::view::{EvacuatedZones, RegistryDelta, ViewDigest, ViewMessage};
+use thornbridge_proto::BackEndId;
+use thornbridge_proto::peer::view::{
+    EvacuatedZones, RegistryDelta, StoreRevision, ViewDigest, ViewMessage,
+};
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 
 impl Gateway {
@@ -48,7 +51,10 @@
             ViewMessage::Configuration { encoded, .. } => {
                 self.apply_peer_configuration(peer, &encoded)
             }
-            ViewMessage::Registry(delta) => self.apply_peer_registry(peer, delta),
+            ViewMessage::Registry(delta) => match delta.as_displaced() {
+                Some(entries) => self.apply_peer_displaced(peer, entries),
+                None => self.apply_peer_registry(peer, delta),
+            },
             ViewMessage::Evacuations(evacuated) => self.apply_peer_evacuations(peer, evacuated),
         }
     }
@@ -84,6 +90,9 @@
         }
         if let Some(delta) = self.registry.delta(peer_digest.registry) {
             self.send_view(peer, ViewMessage::Registry(delta));
+            if let Some(displaced) = RegistryDelta::of_displaced(self.servers.displaced()) {
+                self.send_view(peer, ViewMessage::Registry(displaced));
+            }
         }
     }
 
@@ -120,6 +129,33 @@
         }
     }
 
+    /// Announces the servers that this node found displaced.
+    pub(super) fn announce_displaced(&mut self) {
+        let entries = self.servers.take_newly_displaced();
+        self.displaced(entries, None);
+    }
+
+    fn apply_peer_displaced(&mut self, peer: SocketAddr, entries: &[(StoreRevision, BackEndId)]) {
+        let entries = entries.iter().filter(|(revision, id)| {
+            self.servers
+                .reported_displaced(&mut self.actions, *revision, id)
+        });
+        let entries = entries.cloned().collect();
+        self.displaced(entries, Some(peer));
+    }
+
+    /// Moves what was queued at displaced servers, and announces them. `from`: the peer that reported
+    /// them; `None` for this node.
+    fn displaced(&mut self, entries: Vec<(StoreRevision, BackEndId)>, from: Option<SocketAddr>) {
+        if entries.is_empty() {
+            return;
+        }
+        self.slices_outdated = true;
+        self.reassign_queued_parts();
+        self.view_gossip
+            .announce_displaced(&mut self.random, &mut self.actions, entries, from);
+    }
+
     fn apply_peer_evacuations(&mut self, peer: SocketAddr, evacuated: EvacuatedZones) {
         let changes = self.evacuations.replace(evacuated.zones, evacuated.at);
         let changed = !changes.is_empty();
--- a/crates/thornbridge-core/src/gateway/servers/displacing.rs
+++ b/crates/thornbridge-core/src/gateway/servers/displacing.rs
@@ -10,6 +10,8 @@
 use crate::gateway::action::GatewayAction;
 use crate::gateway::telemetry::{GatewayChange, ViewOrigin};
 use std::collections::VecDeque;
+use thornbridge_proto::BackEndId;
+use thornbridge_proto::peer::view::StoreRevision;
 
 impl Servers {
     /// Records that an attempt found another server at the address.
@@ -18,23 +20,58 @@
         actions: &mut VecDeque<GatewayAction>,
         key: ServerKey,
     ) {
-        self.displace(actions, key, ViewOrigin::Own);
+        if self.displace(actions, key, ViewOrigin::Own) {
+            self.newly_displaced.push(key);
+        }
     }
 
-    /// Marks a server as displaced.
+    /// Registry entries of the servers that this node found displaced since the last call.
+    pub(in crate::gateway) fn take_newly_displaced(&mut self) -> Vec<(StoreRevision, BackEndId)> {
+        let keys = std::mem::take(&mut self.newly_displaced);
+        keys.into_iter()
+            .filter_map(|key| self.entry_of(key))
+            .collect()
+    }
+
+    /// Registry entries of all displaced servers.
+    pub(in crate::gateway) fn displaced(&self) -> Vec<(StoreRevision, BackEndId)> {
+        let servers = self.servers.values();
+        let displaced = servers.filter(|server| server.availability == Availability::Displaced);
+        displaced
+            .map(|server| (server.revision, server.id.clone()))
+            .collect()
+    }
+
+    /// Applies a peer's report of a displaced server; returns whether it was news. A report on an
+    /// entry that has changed since is ignored.
+    pub(in crate::gateway) fn reported_displaced(
+        &mut self,
+        actions: &mut VecDeque<GatewayAction>,
+        revision: StoreRevision,
+        id: &BackEndId,
+    ) -> bool {
+        let Some(key) = self.by_id.get(id).copied() else {
+            return false;
+        };
+        let server = self.servers.get(&key);
+        let is_current = server.is_some_and(|server| server.revision <= revision);
+        is_current && self.displace(actions, key, ViewOrigin::Peer)
+    }
+
+    /// Marks a server as displaced; returns `false` if it took no requests before.
     fn displace(
         &mut self,
         actions: &mut VecDeque<GatewayAction>,
         key: ServerKey,
         origin: ViewOrigin,
-    ) {
+    ) -> bool {
         let Some(server) = self.servers.get_mut(&key) else {
-            return;
+            return false;
         };
         server.availability = match server.availability {
             Availability::Ready => Availability::Displaced,
             Availability::Vanished { .. } => Availability::Gone,
-            Availability::Displaced | Availability::Draining | Availability::Gone => return,
+            Availability::Displaced | Availability::Draining | Availability::Gone => return false,
         };
         self.subset.invalidate(server.service);
         actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
@@ -45,5 +82,11 @@
             origin,
         }));
         self.close_idle_if_leaving(actions, key);
+        true
+    }
+
+    fn entry_of(&self, key: ServerKey) -> Option<(StoreRevision, BackEndId)> {
+        let server = self.servers.get(&key)?;
+        Some((server.revision, server.id.clone()))
     }
 }
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -81,6 +81,8 @@
     next_connection: u64,
     servers: BTreeMap<ServerKey, Server>,
     by_id: BTreeMap<BackEndId, ServerKey>,
+    /// Displaced servers that peers have not been notified of.
+    newly_displaced: Vec<ServerKey>,
     service_names: BTreeMap<ServiceName, ServiceKey>,
     services: Vec<ServiceEntry>,
     connections: BTreeMap<ConnectionId, Connection>,
@@ -107,6 +109,7 @@
             next_connection: 0,
             servers: BTreeMap::new(),
             by_id: BTreeMap::new(),
+            newly_displaced: Vec::new(),
             service_names: BTreeMap::new(),
             services: Vec::new(),
             connections: BTreeMap::new(),
--- a/crates/thornbridge-core/src/gateway/tests/displaced.rs
+++ b/crates/thornbridge-core/src/gateway/tests/displaced.rs
@@ -1,10 +1,11 @@
 //! Servers whose address another server has.
 
-use super::support::{Harness, answer, instance, millis, route, service, verdict};
+use super::support::{Harness, answer, instance, millis, peer, route, service, verdict};
 use crate::gateway::event::ReplyVerdict;
 use crate::gateway::{ViewKind, ViewObject};
 use thornbridge_config::routes::Repeatability::Repeatable;
-use thornbridge_proto::peer::view::{InstanceState, StoreRevision};
+use thornbridge_proto::BackEndId;
+use thornbridge_proto::peer::view::{InstanceState, RegistryDelta, StoreRevision, ViewMessage};
 
 /// Gateway with these servers of one service.
 fn serving(servers: &[&str]) -> Harness {
@@ -72,3 +73,67 @@
     harness.send_request("/x");
     assert_eq!(harness.sent.len(), 2);
 }
+
+fn report(entries: &[(u64, &str)]) -> ViewMessage {
+    let entries = entries.iter().map(|(revision, id)| {
+        let revision = StoreRevision::without_era(*revision);
+        (revision, BackEndId::new(*id))
+    });
+    let delta = RegistryDelta::of_displaced(entries.collect());
+    ViewMessage::Registry(delta.expect("entries"))
+}
+
+/// Guards against nodes that each find out for themselves.
+#[test]
+fn peers_are_told_of_displaced_server_once() {
+    let mut harness = serving(&["s1", "s2"]);
+    harness.add_peers(2);
+    harness.advance(millis(300));
+    let displaced = displace_first(&mut harness);
+    assert_eq!(harness.told_displaced.len(), 2, "one message to each peer");
+    for (_, delta) in &harness.told_displaced {
+        let [(_, id)] = delta.as_displaced().expect("displaced servers") else {
+            panic!("one server: {delta:?}");
+        };
+        assert_eq!(id.as_str(), displaced);
+    }
+}
+
+#[test]
+fn server_that_peer_reports_displaced_gets_no_attempt() {
+    let mut harness = serving(&["s1"]);
+    harness.view_message(peer(1), report(&[(10, "s1")]));
+    harness.send_request("/x");
+    assert_eq!(harness.sent.len(), 0);
+}
+
+#[test]
+fn report_is_passed_on_once() {
+    let mut harness = serving(&["s1"]);
+    harness.add_peers(2);
+    harness.advance(millis(300));
+    harness.view_message(peer(1), report(&[(10, "s1")]));
+    let passed_on = harness.told_displaced.len();
+    assert!(passed_on > 0);
+    harness.view_message(peer(2), report(&[(10, "s1")]));
+    assert_eq!(harness.told_displaced.len(), passed_on);
+}
+
+/// Guards against late reports that take a server away which registered again.
+#[test]
+fn report_on_earlier_entry_is_ignored() {
+    let mut harness = serving(&["s1"]);
+    harness.watch_reply(ViewKind::Registry, vec![ready_entry("s1", 51)], 51);
+    harness.view_message(peer(1), report(&[(10, "s1")]));
+    harness.send_request("/x");
+    assert_eq!(harness.sent.len(), 1);
+}
+
+/// Guards against members that start, and get the entries of displaced servers without being told.
+#[test]
+fn pull_of_registry_is_answered_with_displaced_servers() {
+    let mut harness = serving(&["s1", "s2"]);
+    displace_first(&mut harness);
+    harness.view_message(peer(1), ViewMessage::Pull(Default::default()));
+    assert_eq!(harness.told_displaced.len(), 1);
+}
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -19,7 +19,9 @@
 use thornbridge_proto::peer::membership::{MemberRecord, MemberState, MembershipMessage};
 use thornbridge_proto::peer::quarantine::{CrashRecord, QuarantineMessage};
 use thornbridge_proto::peer::slice::{SliceMessage, SliceTask};
-use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
+use thornbridge_proto::peer::view::{
+    Instance, InstanceState, RegistryDelta, StoreRevision, ViewMessage,
+};
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 use thornbridge_proto::{
     AttemptId, BackEndId, Incarnation, NodeId, NodeName, RegionName, ServiceName, ZoneName,
@@ -49,6 +51,8 @@
     pub tasks: Vec<(SocketAddr, SliceTask)>,
     /// Slice messages sent to peers.
     pub slice_messages: Vec<(SocketAddr, SliceMessage)>,
+    /// Displaced servers that peers were told of.
+    pub told_displaced: Vec<(SocketAddr, RegistryDelta)>,
     /// Relayed requests that were dropped.
     pub released: Vec<CallerId>,
     pub closed: Vec<ConnectionId>,
@@ -181,6 +185,7 @@
             reads: Vec::new(),
             tasks: Vec::new(),
             slice_messages: Vec::new(),
+            told_displaced: Vec::new(),
             released: Vec::new(),
             closed: Vec::new(),
             opened: Vec::new(),
@@ -256,6 +261,10 @@
                 to,
                 message: PeerMessage::Slice(message),
             } => self.slice_messages.push((to, message)),
+            GatewayAction::SendPeer {
+                to,
+                message: PeerMessage::View(ViewMessage::Registry(delta)),
+            } if delta.as_displaced().is_some() => self.told_displaced.push((to, delta)),
             GatewayAction::ReleaseRelayed { caller } => self.released.push(caller),
             _ => {}
         }
@@ -303,7 +312,7 @@
     }
 
     /// Adds peers, which never answer probes.
-    fn add_peers(&mut self, peers: u8) {
+    pub fn add_peers(&mut self, peers: u8) {
         for number in 1..=peers {
             let endpoint = peer(number);
             let member = MemberRecord {
@@ -329,6 +338,12 @@
         self.event(GatewayEvent::PeerMessage { from, message });
     }
 
+    /// Delivers a message about views from a peer.
+    pub fn view_message(&mut self, from: PeerEndpoint, message: ViewMessage) {
+        let message = PeerMessage::View(message);
+        self.event(GatewayEvent::PeerMessage { from, message });
+    }
+
     /// Delivers crash records from a peer.
     pub fn quarantine_message(&mut self, from: PeerEndpoint, records: Vec<CrashRecord>) {
         let message = PeerMessage::Quarantine(QuarantineMessage { records });
--- a/crates/thornbridge-core/src/gateway/views/gossip.rs
+++ b/crates/thornbridge-core/src/gateway/views/gossip.rs
@@ -15,8 +15,9 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
+use thornbridge_proto::BackEndId;
 use thornbridge_proto::peer::PeerMessage;
-use thornbridge_proto::peer::view::{StoreRevision, ViewDigest, ViewMessage};
+use thornbridge_proto::peer::view::{RegistryDelta, StoreRevision, ViewDigest, ViewMessage};
 
 /// Age difference from which a node replies to a digest of staler views.
 const MIN_AGE_ADVANTAGE: Duration = Duration::from_millis(50);
@@ -225,16 +226,39 @@
         own: ViewStatus,
         from: Option<SocketAddr>,
     ) {
-        let fanout = self.parameters.digest_fanout;
-        for peer in self.peers.local().choose_multiple(random, fanout) {
-            actions.push_back(send_digest(*peer, own));
+        for peer in self.announcement_targets(random, from) {
+            actions.push_back(send_digest(peer, own));
         }
-        if from.is_some_and(|peer| self.peers.is_local(peer)) {
+    }
+
+    /// Announces displaced servers, by their registry entries, to the same peers as a changed view.
+    pub(in crate::gateway) fn announce_displaced(
+        &mut self,
+        random: &mut Pcg64Mcg,
+        actions: &mut VecDeque<GatewayAction>,
+        entries: Vec<(StoreRevision, BackEndId)>,
+        from: Option<SocketAddr>,
+    ) {
+        let Some(delta) = RegistryDelta::of_displaced(entries) else {
             return;
+        };
+        for peer in self.announcement_targets(random, from) {
+            actions.push_back(send(peer, ViewMessage::Registry(delta.clone())));
         }
-        for peer in self.peers.one_per_remote_zone(random) {
-            actions.push_back(send_digest(peer, own));
+    }
+
+    fn announcement_targets(
+        &self,
+        random: &mut Pcg64Mcg,
+        from: Option<SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        let fanout = self.parameters.digest_fanout;
+        let local = self.peers.local().choose_multiple(random, fanout);
+        let mut targets: Vec<SocketAddr> = local.copied().collect();
+        if !from.is_some_and(|peer| self.peers.is_local(peer)) {
+            targets.extend(self.peers.one_per_remote_zone(random));
         }
+        targets
     }
 
     /// Handles a peer's digest: replies if the peer is behind, selects a pull target if this node is.
--- a/crates/thornbridge-proto/src/peer/tests.rs
+++ b/crates/thornbridge-proto/src/peer/tests.rs
@@ -1,10 +1,11 @@
 use super::health::{BackEndKey, HealthBatch, HealthChange, HealthFact, PackedFact};
 use super::membership::{MemberBatch, MemberRecord, MemberState};
 use super::quarantine::{CrashRecord, QuarantineMessage};
+use super::view::{RegistryDelta, StoreRevision, ViewMessage};
 use super::{PeerEndpoint, PeerMessage};
 use crate::back_end::Readiness;
 use crate::fingerprint::Fingerprint;
-use crate::{Incarnation, NodeId, frame};
+use crate::{BackEndId, Incarnation, NodeId, frame};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -129,3 +130,25 @@
         prop_assert_eq!(decoded, message);
     }
 }
+
+#[test]
+fn displaced_servers_are_told_from_changes_of_the_store() {
+    let entries = [3, 7].map(|number| {
+        let revision = StoreRevision::without_era(number);
+        (revision, BackEndId::new(format!("i-{number}")))
+    });
+    let displaced = RegistryDelta::of_displaced(entries.to_vec()).expect("entries");
+    let message = PeerMessage::View(ViewMessage::Registry(displaced));
+    let frame = frame::encode(&message).expect("encodable");
+    let decoded: PeerMessage = frame::decode(&frame).expect("decodable");
+    let PeerMessage::View(ViewMessage::Registry(delta)) = decoded else {
+        panic!("another message: {decoded:?}");
+    };
+    assert_eq!(delta.as_displaced(), Some(&entries[..]));
+    let of_the_store = RegistryDelta {
+        since: Some(StoreRevision::without_era(6)),
+        ..delta
+    };
+    assert_eq!(of_the_store.as_displaced(), None);
+    assert_eq!(RegistryDelta::of_displaced(Vec::new()), None);
+}
--- a/crates/thornbridge-proto/src/peer/view.rs
+++ b/crates/thornbridge-proto/src/peer/view.rs
@@ -99,6 +99,26 @@
     pub departed: Vec<(StoreRevision, BackEndId)>,
 }
 
+impl RegistryDelta {
+    /// Entries whose addresses other servers have, as nodes found; `None` if there are none.
+    ///
+    /// The delta spans no change of the store. Nodes that do not know such deltas remove the entries.
+    pub fn of_displaced(entries: Vec<(StoreRevision, BackEndId)>) -> Option<Self> {
+        let latest = entries.iter().map(|(revision, _)| *revision).max()?;
+        Some(Self {
+            since: Some(latest),
+            upto: latest,
+            present: Vec::new(),
+            departed: entries,
+        })
+    }
+
+    /// The entries of a delta of displaced servers; `None` for a delta of changes in the store.
+    pub fn as_displaced(&self) -> Option<&[(StoreRevision, BackEndId)]> {
+        (self.since == Some(self.upto)).then_some(&self.departed)
+    }
+}
+
 /// The zones whose servers are to get nothing, all of them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EvacuatedZones {
