A server whose address a later entry has is displaced

Nodes that had both entries sent to both.

Cause: entries were compared by identity only. Of two entries with one address the one of the later revision counts, in whatever order they come; a known server's later changes (it begins to drain) take no address back.

Failed before, pass now: displaced::server_whose_address_is_registered_by_another_gets_no_attempt and later_of_two_entries_with_one_address_counts (one attempt where none is wanted).

--- a/crates/thornbridge-core/src/gateway/servers/displacing.rs
+++ b/crates/thornbridge-core/src/gateway/servers/displacing.rs
@@ -58,6 +58,35 @@
         is_current && self.displace(actions, key, ViewOrigin::Peer)
     }
 
+    /// Displaces the server that had the address of a registered server before, or this one if the
+    /// other's entry is later.
+    pub(super) fn displace_older(
+        &mut self,
+        actions: &mut VecDeque<GatewayAction>,
+        key: ServerKey,
+        origin: ViewOrigin,
+    ) {
+        let Some(server) = self.servers.get(&key).filter(|server| !server.is_leaving()) else {
+            return;
+        };
+        let (address, revision) = (server.address, server.revision);
+        let known = self.by_address.get(&address).copied();
+        let other = known.filter(|other| *other != key);
+        let later = other
+            .and_then(|other| self.servers.get(&other))
+            .filter(|other| !other.is_leaving() && other.revision > revision);
+        let displaced = match later {
+            Some(_) => Some(key),
+            None => {
+                self.by_address.insert(address, key);
+                other
+            }
+        };
+        if let Some(displaced) = displaced {
+            self.displace(actions, displaced, origin);
+        }
+    }
+
     /// Marks a server as displaced; returns `false` if it took no requests before.
     fn displace(
         &mut self,
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -81,6 +81,8 @@
     next_connection: u64,
     servers: BTreeMap<ServerKey, Server>,
     by_id: BTreeMap<BackEndId, ServerKey>,
+    /// Server with the latest registry entry for each address.
+    by_address: BTreeMap<SocketAddr, ServerKey>,
     /// Displaced servers that peers have not been notified of.
     newly_displaced: Vec<ServerKey>,
     service_names: BTreeMap<ServiceName, ServiceKey>,
@@ -109,6 +111,7 @@
             next_connection: 0,
             servers: BTreeMap::new(),
             by_id: BTreeMap::new(),
+            by_address: BTreeMap::new(),
             newly_displaced: Vec::new(),
             service_names: BTreeMap::new(),
             services: Vec::new(),
@@ -305,6 +308,9 @@
         if self.by_id.get(&server.id) == Some(&key) {
             self.by_id.remove(&server.id);
         }
+        if self.by_address.get(&server.address) == Some(&key) {
+            self.by_address.remove(&server.address);
+        }
         self.servers.remove(&key);
         self.services[service.0 as usize]
             .servers
--- a/crates/thornbridge-core/src/gateway/servers/registering.rs
+++ b/crates/thornbridge-core/src/gateway/servers/registering.rs
@@ -42,6 +42,9 @@
             origin,
         }));
         self.close_idle_if_leaving(actions, key);
+        if known.is_none() {
+            self.displace_older(actions, key, origin);
+        }
     }
 
     /// Server of an entry; `None` if the instance is new or has restarted.
--- a/crates/thornbridge-core/src/gateway/tests/displaced.rs
+++ b/crates/thornbridge-core/src/gateway/tests/displaced.rs
@@ -1,6 +1,8 @@
 //! Servers whose address another server has.
 
-use super::support::{Harness, answer, instance, millis, peer, route, service, verdict};
+use super::support::{
+    Harness, answer, instance, millis, peer, route, server_address, service, verdict,
+};
 use crate::gateway::event::ReplyVerdict;
 use crate::gateway::{ViewKind, ViewObject};
 use thornbridge_config::routes::Repeatability::Repeatable;
@@ -137,3 +139,50 @@
     harness.view_message(peer(1), ViewMessage::Pull(Default::default()));
     assert_eq!(harness.told_displaced.len(), 1);
 }
+
+/// An entry of another service at the address of a server.
+fn entry_at_address_of(id: &str, revision: u64) -> ViewObject {
+    let mut instance = instance("other", "t", InstanceState::Ready);
+    instance.address = server_address(id);
+    ViewObject::Instance(StoreRevision::without_era(revision), instance)
+}
+
+#[test]
+fn server_whose_address_is_registered_by_another_gets_no_attempt() {
+    let mut harness = serving(&["s1"]);
+    harness.watch_reply(ViewKind::Registry, vec![entry_at_address_of("s1", 51)], 51);
+    harness.send_request("/x");
+    assert_eq!(harness.sent.len(), 0);
+}
+
+/// Guards against an order of entries in a list that is not the order of their revisions.
+#[test]
+fn later_of_two_entries_with_one_address_counts() {
+    for (other_revision, attempts) in [(30, 1), (70, 0)] {
+        let mut harness = serving(&[]);
+        let entries = vec![
+            entry_at_address_of("s1", other_revision),
+            ready_entry("s1", 60),
+        ];
+        harness.watch_reply(ViewKind::Registry, entries, 70);
+        harness.advance(millis(300));
+        harness.send_request("/x");
+        assert_eq!(harness.sent.len(), attempts, "{other_revision}");
+    }
+}
+
+/// Guards against an old entry that takes the address back when it begins to drain.
+#[test]
+fn draining_entry_displaces_no_server() {
+    let mut harness = serving(&["s1"]);
+    let mut newer = instance("s2", "s", InstanceState::Ready);
+    newer.address = server_address("s1");
+    let newer = ViewObject::Instance(StoreRevision::without_era(51), newer);
+    harness.watch_reply(ViewKind::Registry, vec![newer], 51);
+    let draining = instance("s1", "s", InstanceState::Draining);
+    let draining = ViewObject::Instance(StoreRevision::without_era(52), draining);
+    harness.watch_reply(ViewKind::Registry, vec![draining], 52);
+    harness.advance(millis(300));
+    let caller = harness.send_request("/x");
+    assert_eq!(harness.sent_for(caller)[0].instance, "s2");
+}
