--- a/crates/thornbridge-core/src/gateway/tests/grants.rs
+++ b/crates/thornbridge-core/src/gateway/tests/grants.rs
@@ -371,6 +371,19 @@
     assert_eq!(harness.sent.len(), 1);
 }
 
+/// Guards against attempts that arrive in a later window than the one that the lender charged.
+#[test]
+fn lent_attempt_is_charged_again_once_its_charge_has_lapsed() {
+    let mut harness = node_with_peers(SMALL_CORE_SHARE);
+    receive_task(&mut harness, first_task(&["shard-1"]));
+    harness.disable_extra_attempts();
+    grant_lending(&mut harness, 2, vec![0]);
+    harness.now = harness.now + millis(450);
+    harness.reply(harness.sent[0].attempt, verdict(ReplyVerdict::NotRun));
+    harness.advance(millis(50));
+    assert_eq!(harness.sent.len(), 1);
+}
+
 #[test]
 fn coordinator_lends_within_its_budget() {
     let lent_count = |harness: &Harness| -> usize {
