A registry entry with another address is another run of the server

Callers would see attempts at an address that the server no longer has: an entry with the same identity and an unknown start time (other writers may leave it out) was taken for the same run, and the new address was not read. Found by reading, beside the fault of reused addresses; not seen in a run.

Failed before, passes now: restarts::entry_with_another_address_is_another_run (no connection to the new address).

--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -181,10 +181,12 @@
         }
     }
 
-    /// Whether a registry entry belongs to this run of the server; true if a start time is unknown.
+    /// Whether a registry entry belongs to this run of the server: the address is the same, and the
+    /// start time where both are known.
     pub(super) fn is_same_run(&self, instance: &Instance) -> bool {
         let unknown = self.started_ms == 0 || instance.born_ms == 0;
-        unknown || self.started_ms == instance.born_ms
+        let same_start = unknown || self.started_ms == instance.born_ms;
+        same_start && self.address == instance.address
     }
 
     /// Identity of this run of the server, distinct from other runs of the same instance.
--- a/crates/thornbridge-core/src/gateway/tests/restarts.rs
+++ b/crates/thornbridge-core/src/gateway/tests/restarts.rs
@@ -99,3 +99,15 @@
     harness.watch_reply(ViewKind::Registry, vec![unusable(0)], 60);
     assert_eq!(harness.gateway.registered_instances(), 1);
 }
+
+/// Guards against an address that a server no longer has.
+#[test]
+fn entry_with_another_address_is_another_run() {
+    let mut harness = harness_with_idle_connection();
+    harness.opened.clear();
+    harness.watch_reply(ViewKind::Registry, vec![entry(51, 0, 81)], 51);
+    harness.send_request("/one/2");
+    harness.advance(millis(300));
+    assert!(!harness.opened.is_empty());
+    assert!(harness.opened.iter().all(|address| address.port() == 81));
+}
