A connection that opens after its server stopped taking requests is closed

Servers saw: connections from nodes that never use them, to a server of another service that has the address, for up to 20 s, within its limit of connections.

Cause: connections are closed when a server is displaced, drains or goes; one that was opening at that moment was kept as idle.

Failed before, passes now: displaced::connection_that_opens_after_displacement_is_closed.

--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -102,17 +102,26 @@
                 .servers
                 .connection_opened(context.now, connection, connect_time)
         {
-            self.serve_queue(context, server);
+            self.connection_available(context, server);
         }
     }
 
     /// Serves the queues of servers with connections whose probation ended.
     pub(in crate::gateway) fn end_connection_probation(&mut self, context: &mut Context<'_>) {
         for server in context.servers.end_probation(context.now) {
-            self.serve_queue(context, server);
+            self.connection_available(context, server);
         }
     }
 
+    /// Serves the queue of a server with a new idle connection; closes the connection if the server
+    /// stopped taking requests while it was opening.
+    fn connection_available(&mut self, context: &mut Context<'_>, server: ServerKey) {
+        self.serve_queue(context, server);
+        context
+            .servers
+            .close_idle_if_leaving(context.actions, server);
+    }
+
     /// Handles a connection that broke or could not be opened.
     pub(in crate::gateway) fn connection_lost(
         &mut self,
--- a/crates/thornbridge-core/src/gateway/servers/connections.rs
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -294,11 +294,11 @@
         }
     }
 
-    /// Closes the idle connections of a server that is draining or gone.
+    /// Closes the idle connections of a server that is displaced, draining or gone.
     ///
     /// Servers of evacuated zones keep theirs: an evacuation may end within seconds, and
     /// reconnecting would occupy slots.
-    pub(super) fn close_idle_if_leaving(
+    pub(in crate::gateway) fn close_idle_if_leaving(
         &mut self,
         actions: &mut VecDeque<GatewayAction>,
         key: ServerKey,
--- a/crates/thornbridge-core/src/gateway/tests/displaced.rs
+++ b/crates/thornbridge-core/src/gateway/tests/displaced.rs
@@ -186,3 +186,18 @@
     let caller = harness.send_request("/x");
     assert_eq!(harness.sent_for(caller)[0].instance, "s2");
 }
+
+/// Guards against connections that occupy a server of another service.
+#[test]
+fn connection_that_opens_after_displacement_is_closed() {
+    let mut harness = serving(&["s1"]);
+    harness.hold_connects();
+    harness.send_request("/x");
+    let in_flight = harness.sent[0].attempt;
+    harness.send_request("/x");
+    let opening = harness.pending.clone();
+    assert!(!opening.is_empty());
+    harness.reply(in_flight, verdict(ReplyVerdict::WrongInstance));
+    harness.open_pending();
+    assert!(opening.iter().all(|one| harness.closed.contains(one)));
+}
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -63,6 +63,8 @@
     /// Number of further connections to reset right after they open.
     resets_left: u32,
     holds_connects: bool,
+    /// Connections that are held while they open.
+    pub pending: Vec<ConnectionId>,
     /// Number of timer events.
     pub timers: u32,
     next_caller: u64,
@@ -192,6 +194,7 @@
             open: Vec::new(),
             resets_left: 0,
             holds_connects: false,
+            pending: Vec::new(),
             timers: 0,
             next_caller: 0,
         };
@@ -227,8 +230,9 @@
                 address,
             } => {
                 self.opened.push(address);
-                if !self.holds_connects {
-                    self.connection_opened(connection);
+                match self.holds_connects {
+                    true => self.pending.push(connection),
+                    false => self.connection_opened(connection),
                 }
             }
             GatewayAction::Close { connection } => {
@@ -288,6 +292,13 @@
         self.holds_connects = true;
     }
 
+    /// Opens the connections that are held.
+    pub fn open_pending(&mut self) {
+        for connection in std::mem::take(&mut self.pending) {
+            self.connection_opened(connection);
+        }
+    }
+
     /// Adds peers and sets the processor share, so that gathers are divided; the budget of extra
     /// attempts is large.
     pub fn join_peers_with_processor_share(&mut self, processor_share: f64, peers: u8) {
