--- a/crates/thornbridge-rehearsal/tests/gateway/reused_addresses.rs
+++ b/crates/thornbridge-rehearsal/tests/gateway/reused_addresses.rs
@@ -1,5 +1,7 @@
 //! Servers crash, and their addresses go to servers of another service while the store is away.
 
+use crate::mixed::{draw_faults, runs};
+use crate::support::sound;
 use std::time::Duration;
 use thornbridge_proto::ServiceName;
 use thornbridge_rehearsal::gateway::{
@@ -56,3 +58,20 @@
         assert_within_budget(&play(scenario, Vec::new()));
     }
 }
+
+/// Servers that other faults of a mix strike.
+const STRUCK_SERVERS: usize = 20;
+
+#[test]
+fn mixes_of_faults_with_reused_addresses_break_no_rule() {
+    for seed in 0..runs() {
+        let mut faults = draw_faults(4_000 + seed, 8, STRUCK_SERVERS);
+        let reuse = GatewayFault::ReuseAddresses {
+            servers: (STRUCK_SERVERS..2 * STRUCK_SERVERS).step_by(2).collect(),
+            service: ServiceName::new("shard-0-0"),
+            after: REUSE_AFTER,
+        };
+        faults.push(TimedFault::at(1.0 + (seed % 8) as f64, reuse));
+        sound(seed, faults);
+    }
+}
