A server that vanished and is displaced is forgotten

A server whose entry is gone and whose address another has was kept, without connections, until the process ended. The test of a draining entry gave both changes in one reply, since the second of two was not read; it is now seen failing without the guard, as is displaced::vanished_server_that_is_displaced_is_forgotten (2 servers kept, 1 wanted). Names: resolve_address_conflict, servers_displaced.

--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -230,6 +230,12 @@
         self.quarantine.len()
     }
 
+    /// Number of servers with state, those that left included.
+    #[cfg(test)]
+    pub(crate) fn known_servers(&self) -> usize {
+        self.servers.len()
+    }
+
     /// Number of registry entries.
     pub fn registered_instances(&self) -> usize {
         self.registry.len()
--- a/crates/thornbridge-core/src/gateway/peer_messages.rs
+++ b/crates/thornbridge-core/src/gateway/peer_messages.rs
@@ -132,21 +132,27 @@
     /// Announces the servers that this node found displaced.
     pub(super) fn announce_displaced(&mut self) {
         let entries = self.servers.take_newly_displaced();
-        self.displaced(entries, None);
+        self.servers_displaced(entries, None);
     }
 
     fn apply_peer_displaced(&mut self, peer: SocketAddr, entries: &[(StoreRevision, BackEndId)]) {
-        let entries = entries.iter().filter(|(revision, id)| {
-            self.servers
-                .reported_displaced(&mut self.actions, *revision, id)
-        });
-        let entries = entries.cloned().collect();
-        self.displaced(entries, Some(peer));
+        let mut news = Vec::new();
+        for (revision, id) in entries {
+            let actions = &mut self.actions;
+            if self.servers.reported_displaced(actions, *revision, id) {
+                news.push((*revision, id.clone()));
+            }
+        }
+        self.servers_displaced(news, Some(peer));
     }
 
     /// Moves what was queued at displaced servers, and announces them. `from`: the peer that reported
     /// them; `None` for this node.
-    fn displaced(&mut self, entries: Vec<(StoreRevision, BackEndId)>, from: Option<SocketAddr>) {
+    fn servers_displaced(
+        &mut self,
+        entries: Vec<(StoreRevision, BackEndId)>,
+        from: Option<SocketAddr>,
+    ) {
         if entries.is_empty() {
             return;
         }
--- a/crates/thornbridge-core/src/gateway/servers/displacing.rs
+++ b/crates/thornbridge-core/src/gateway/servers/displacing.rs
@@ -58,9 +58,9 @@
         is_current && self.displace(actions, key, ViewOrigin::Peer)
     }
 
-    /// Displaces the server that had the address of a registered server before, or this one if the
+    /// Displaces the server that had the address of a newly registered server, or the new one if the
     /// other's entry is later.
-    pub(super) fn displace_older(
+    pub(super) fn resolve_address_conflict(
         &mut self,
         actions: &mut VecDeque<GatewayAction>,
         key: ServerKey,
@@ -111,6 +111,7 @@
             origin,
         }));
         self.close_idle_if_leaving(actions, key);
+        self.remove_if_unused(key);
         true
     }
 
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -170,6 +170,11 @@
         self.warm_services = warm;
     }
 
+    #[cfg(test)]
+    pub(super) fn len(&self) -> usize {
+        self.servers.len()
+    }
+
     pub(super) fn get(&self, key: ServerKey) -> Option<&Server> {
         self.servers.get(&key)
     }
--- a/crates/thornbridge-core/src/gateway/servers/registering.rs
+++ b/crates/thornbridge-core/src/gateway/servers/registering.rs
@@ -43,7 +43,7 @@
         }));
         self.close_idle_if_leaving(actions, key);
         if known.is_none() {
-            self.displace_older(actions, key, origin);
+            self.resolve_address_conflict(actions, key, origin);
         }
     }
 
--- a/crates/thornbridge-core/src/gateway/tests/displaced.rs
+++ b/crates/thornbridge-core/src/gateway/tests/displaced.rs
@@ -178,10 +178,9 @@
     let mut newer = instance("s2", "s", InstanceState::Ready);
     newer.address = server_address("s1");
     let newer = ViewObject::Instance(StoreRevision::without_era(51), newer);
-    harness.watch_reply(ViewKind::Registry, vec![newer], 51);
     let draining = instance("s1", "s", InstanceState::Draining);
     let draining = ViewObject::Instance(StoreRevision::without_era(52), draining);
-    harness.watch_reply(ViewKind::Registry, vec![draining], 52);
+    harness.watch_reply(ViewKind::Registry, vec![newer, draining], 52);
     harness.advance(millis(300));
     let caller = harness.send_request("/x");
     assert_eq!(harness.sent_for(caller)[0].instance, "s2");
@@ -201,3 +200,14 @@
     harness.open_pending();
     assert!(opening.iter().all(|one| harness.closed.contains(one)));
 }
+
+/// Guards against servers that are kept for ever after their entry and their address are gone.
+#[test]
+fn vanished_server_that_is_displaced_is_forgotten() {
+    let mut harness = serving(&["s1"]);
+    let removed = ViewObject::InstanceRemoved(StoreRevision::without_era(52), BackEndId::new("s2"));
+    harness.watch_reply(ViewKind::Registry, vec![ready_entry("s2", 51), removed], 52);
+    assert_eq!(harness.gateway.known_servers(), 2);
+    harness.view_message(peer(1), report(&[(52, "s2")]));
+    assert_eq!(harness.gateway.known_servers(), 1);
+}
