--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -120,10 +120,7 @@
         if !part.needs_charge(context.now) {
             return true;
         }
-        if part.take_lent(context.now) {
-            return true;
-        }
-        if context.budget.try_take(context.now, part.service) {
+        if part.take_lent(context.now) || context.budget.try_take(context.now, part.service) {
             part.set_charged(context.now);
             return true;
         }
