A lent attempt is sent within the lifetime of its charge; the lender renews it

Change: a loan has the lifetime of any charge, 0.4 s from its receipt to the send. An owner whose loan lapsed asks its coordinator again, which lends anew if its own budget allows. The first grant lends one attempt for each open shard instead of two: most loans lapse unused, and their charge is gone.

--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -120,10 +120,16 @@
         if !part.needs_charge(context.now) {
             return true;
         }
-        if part.take_lent(context.now) || context.budget.try_take(context.now, part.service) {
+        if part.take_lent(context.now) {
+            return true;
+        }
+        if context.budget.try_take(context.now, part.service) {
             part.set_charged(context.now);
             return true;
         }
+        if part.drop_lapsed_loans(context.now) {
+            request.request_renewal();
+        }
         request.budget_denials += 1;
         let may_wait = request.is_gather() || request.is_caller_retry();
         let part = &mut request.parts[index];
--- a/crates/thornbridge-core/src/gateway/exchange/part.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/part.rs
@@ -10,11 +10,9 @@
 use thornbridge_proto::AttemptId;
 use thornbridge_proto::peer::slice::ShardFailure;
 
-/// Time within which a charged attempt must be sent, so that servers count it in a window for which
-/// the budget was charged.
+/// Time within which a charged or lent attempt must be sent, so that servers count it in a window for
+/// which the budget was charged.
 const CHARGE_LIFETIME: Duration = Duration::from_millis(400);
-/// Time within which a lent attempt must be taken.
-const LENT_ATTEMPT_LIFETIME: Duration = Duration::from_secs(1);
 
 /// State of a part.
 #[derive(Debug)]
@@ -128,7 +126,7 @@
     /// Adds an extra attempt paid for by the coordinator.
     pub(super) fn lend(&mut self, now: Timestamp) {
         self.lent += 1;
-        self.lent_until = now + LENT_ATTEMPT_LIFETIME;
+        self.lent_until = now + CHARGE_LIFETIME;
     }
 
     /// Whether the next attempt is an extra one that the budget must be charged for.
@@ -151,14 +149,26 @@
         self.charged_until = None;
     }
 
-    /// Consumes a lent attempt; `false` if there is none.
+    /// Uses a lent attempt, charged by its lender, for the next attempt; `false` if there is none.
     #[must_use]
     pub(super) fn take_lent(&mut self, now: Timestamp) -> bool {
         let available = self.lent > 0 && now <= self.lent_until;
-        self.lent -= u32::from(available);
+        if available {
+            self.lent -= 1;
+            self.charged_until = Some(self.lent_until);
+        }
         available
     }
 
+    /// Drops lent attempts whose charge has lapsed; returns whether there were any.
+    pub(super) fn drop_lapsed_loans(&mut self, now: Timestamp) -> bool {
+        let lapsed = self.lent > 0 && now > self.lent_until;
+        if lapsed {
+            self.lent = 0;
+        }
+        lapsed
+    }
+
     /// Attempts that ran or may have run.
     pub(super) fn possible_runs(&self) -> u32 {
         self.prior_attempts + self.sent - self.not_run
--- a/crates/thornbridge-core/src/gateway/exchange/reports.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/reports.rs
@@ -10,9 +10,6 @@
 use std::time::Duration;
 use thornbridge_proto::peer::slice::{SliceId, SliceMessage, SliceReport};
 
-/// Lent attempts per shard: a rejected attempt may be rejected again.
-const MAX_LENT_PER_SHARD: usize = 2;
-
 /// Sender of a report, and the slice it reports on.
 struct Sender {
     owner: SocketAddr,
@@ -113,7 +110,8 @@
     }
 }
 
-/// Grants an owner all remaining attempts, or none if another owner may have used them.
+/// Grants an owner all remaining attempts, or none if another owner may have used them. An owner that
+/// asks again has them already, and gets attempts lent in place of those whose charge lapsed.
 fn grant_attempts(context: &mut Context<'_>, request: &mut Request, sender: &Sender) {
     let max_attempts = request.max_attempts;
     let slice = &mut request.slices[sender.index];
@@ -127,9 +125,9 @@
         false => 1,
     };
     slice.granted_attempts += attempts - 1;
-    let lent = match attempts {
-        1 => Vec::new(),
-        _ => lend_attempts(context, request, sender.index),
+    let lent = match sole_owner && slice.granted_attempts > 1 {
+        true => lend_attempts(context, request, sender.index),
+        false => Vec::new(),
     };
     let grant = SliceMessage::Grant {
         slice: sender.id,
@@ -139,8 +137,9 @@
     send_message(context, sender.owner, grant);
 }
 
-/// Charges this node's budget for extra attempts on the open shards of a slice. Budgets are divided
-/// among all nodes, so lending moves unused shares to the owners without exceeding the total.
+/// Charges this node's budget for one extra attempt on each open shard of a slice. Budgets are divided
+/// among all nodes, so lending moves unused shares to the owners without exceeding the total. Most
+/// loans lapse unused.
 fn lend_attempts(context: &mut Context<'_>, request: &Request, index: usize) -> Vec<u16> {
     let mut lent = Vec::new();
     for (position, part) in request.parts[request.slices[index].shards()]
@@ -150,10 +149,8 @@
         let Ok(position) = u16::try_from(position) else {
             break;
         };
-        for _ in 0..MAX_LENT_PER_SHARD {
-            if part.is_delegated() && context.budget.try_take(context.now, part.service) {
-                lent.push(position);
-            }
+        if part.is_delegated() && context.budget.try_take(context.now, part.service) {
+            lent.push(position);
         }
     }
     lent
--- a/crates/thornbridge-core/src/gateway/exchange/request.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -151,6 +151,16 @@
         }
     }
 
+    /// Schedules a request for lent attempts in place of those that lapsed.
+    pub(super) fn request_renewal(&mut self) {
+        if let Origin::Coordinator(coordinator) = &mut self.origin
+            && coordinator.grant == GrantState::Settled
+        {
+            coordinator.grant = GrantState::NotRequested;
+            coordinator.report_due = true;
+        }
+    }
+
     /// When the first report to the coordinator is due.
     pub(super) fn first_report_at(&self) -> Option<Timestamp> {
         match &self.origin {
