--- a/crates/thornbridge-core/src/control.rs
+++ b/crates/thornbridge-core/src/control.rs
@@ -96,7 +96,8 @@
             PeerMessage::Action(_)
             | PeerMessage::View(_)
             | PeerMessage::Slice(_)
-            | PeerMessage::Quarantine(_) => {}
+            | PeerMessage::Quarantine(_)
+            | PeerMessage::Rollout(_) => {}
         }
     }
 
--- a/crates/thornbridge-core/src/gateway/action.rs
+++ b/crates/thornbridge-core/src/gateway/action.rs
@@ -10,9 +10,10 @@
 use thornbridge_config::routes::CallerLimits;
 use thornbridge_proto::byte_string::SharedBytes;
 use thornbridge_proto::peer::PeerMessage;
+use thornbridge_proto::peer::rollout::RolloutState;
 use thornbridge_proto::peer::slice::SliceTask;
 use thornbridge_proto::peer::view::StoreRevision;
-use thornbridge_proto::{AttemptId, BackEndId};
+use thornbridge_proto::{AttemptId, BackEndId, ServerVersion, ServiceName};
 
 /// Read of the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -167,6 +168,21 @@
         /// Time after which the read fails.
         timeout: Duration,
     },
+    /// Write the state of a roll-out if its object still has a revision; answered by `StateWritten`.
+    WriteState {
+        /// Service of the roll-out.
+        service: ServiceName,
+        /// Sequence number of the write.
+        write: u64,
+        /// Revision of the object on which the write is based.
+        based_on: StoreRevision,
+        /// Version on trial.
+        target: ServerVersion,
+        /// State to write.
+        state: RolloutState,
+        /// Time after which the write fails.
+        timeout: Duration,
+    },
     /// Send a slice task with the caller's request to a slice owner.
     SendTask {
         /// Slice owner.
--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -9,10 +9,11 @@
 use thornbridge_config::routes::RouteConfiguration;
 use thornbridge_proto::AttemptId;
 use thornbridge_proto::fingerprint::Fingerprint;
+use thornbridge_proto::peer::rollout::RolloutOrder;
 use thornbridge_proto::peer::slice::SliceId;
 use thornbridge_proto::peer::view::{Instance, StoreRevision};
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
-use thornbridge_proto::{BackEndId, ZoneName};
+use thornbridge_proto::{BackEndId, ServiceName, ZoneName};
 
 /// Head of a caller's request. The driver keeps headers and body.
 #[derive(Clone, Debug, PartialEq)]
@@ -94,6 +95,8 @@
     Registry,
     /// Zones whose servers receive no requests.
     Evacuations,
+    /// Roll-outs of server versions.
+    Rollouts,
 }
 
 impl ViewKind {
@@ -103,6 +106,7 @@
             Self::Configuration => "configuration",
             Self::Registry => "registry",
             Self::Evacuations => "evacuations",
+            Self::Rollouts => "rollouts",
         }
     }
 }
@@ -120,6 +124,10 @@
     EvacuationStarted(ZoneName),
     /// Zone whose evacuation ended.
     EvacuationEnded(ZoneName),
+    /// Roll-out that was ordered or changed.
+    Rollout(RolloutOrder),
+    /// Roll-out whose order was withdrawn.
+    RolloutWithdrawn(StoreRevision, ServiceName),
     /// Object that cannot be used.
     Unusable {
         /// Object name; empty if unreadable.
@@ -137,6 +145,13 @@
         match self {
             Self::Instance(revision, instance) => Self::Instance(revision.in_era(era), instance),
             Self::InstanceRemoved(revision, id) => Self::InstanceRemoved(revision.in_era(era), id),
+            Self::Rollout(order) => Self::Rollout(RolloutOrder {
+                revision: order.revision.in_era(era),
+                ..order
+            }),
+            Self::RolloutWithdrawn(revision, service) => {
+                Self::RolloutWithdrawn(revision.in_era(era), service)
+            }
             Self::Unusable {
                 name,
                 revision,
@@ -221,6 +236,17 @@
     }
 }
 
+/// Result of a conditional write of a roll-out's state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StateWriteReply {
+    /// The state was written; the object has this revision now.
+    Written(StoreRevision),
+    /// The object changed since the revision on which the write was based; as it is now.
+    Conflict(Option<RolloutOrder>),
+    /// The object no longer exists.
+    Missing,
+}
+
 /// Input of [`Gateway::handle`](super::Gateway::handle).
 #[derive(Clone, Debug, PartialEq)]
 pub enum GatewayEvent {
@@ -278,6 +304,15 @@
         /// Outcome of the read.
         result: Result<SourceReply, SourceFailure>,
     },
+    /// A write of a roll-out's state completed or failed. After `Unreachable` it may still be done.
+    StateWritten {
+        /// Service of the roll-out.
+        service: ServiceName,
+        /// Sequence number of the write.
+        write: u64,
+        /// Outcome of the write.
+        result: Result<StateWriteReply, SourceFailure>,
+    },
     /// A message arrived from a peer.
     PeerMessage {
         /// Sender.
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -61,6 +61,7 @@
             GatewayEvent::SourceReplied { kind, read, result } => {
                 self.source_replied(kind, read, result);
             }
+            GatewayEvent::StateWritten { .. } => {}
             GatewayEvent::PeerMessage { from, message } => self.peer_message(from, message),
             GatewayEvent::TaskNotSent { owner, slice } => {
                 let (exchanges, mut context) = self.exchanges();
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! | `exchange` | requests in flight: attempts, hedges, retries, answers |
 //! | `slices` | partitioning of a gather's shards among nodes |
 //! | `quarantine` | requests that crash the servers that run them |
+//! | `rollouts` | moving a service to another version of its servers |
 //! | `pending` | requests received before the first configuration |
 //! | `budget` | cluster-wide budget of extra attempts |
 //! | [`crate::membership`] | nodes that share the budgets |
@@ -29,6 +30,8 @@
 mod peer_messages;
 mod pending;
 mod quarantine;
+#[allow(dead_code)]
+mod rollouts;
 mod routes;
 mod servers;
 mod slices;
@@ -46,11 +49,11 @@
 pub use caller_try::CallerTry;
 pub use event::{
     ExchangeFailure, GatewayEvent, ReplyVerdict, RequestHead, ServerLoad, ServerReply,
-    SourceFailure, SourceReply, ViewKind, ViewObject,
+    SourceFailure, SourceReply, StateWriteReply, ViewKind, ViewObject,
 };
 pub use parameters::{
     BudgetParameters, ExchangeParameters, GatewayParameters, QuarantineParameters,
-    ServerParameters, SliceParameters, ViewParameters,
+    RolloutParameters, ServerParameters, SliceParameters, ViewParameters,
 };
 pub use servers::Placement;
 pub use telemetry::{
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -361,6 +361,31 @@
 /// 40 ms.
 const PART_COST_PER_CORE: Duration = Duration::from_micros(100);
 
+/// Parameters of roll-outs of server versions.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct RolloutParameters {
+    /// Whether roll-outs may be ordered; if so, orders are read from the store.
+    pub enabled: bool,
+    /// Requests that a rejected version may have got until its deadline, per request of its service.
+    pub exposure_share: f64,
+    /// Requests that it may have got beyond those.
+    pub exposure_slack: f64,
+    /// Time after its 50th bad answer from which a version must get no requests.
+    pub stop_within: Duration,
+}
+
+impl Default for RolloutParameters {
+    fn default() -> Self {
+        Self {
+            enabled: false,
+            exposure_share: 0.1,
+            exposure_slack: 50.0,
+            stop_within: Duration::from_secs(5),
+        }
+    }
+}
+
 /// All tunable parameters of a gateway.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -377,6 +402,8 @@
     pub quarantine: QuarantineParameters,
     /// Retry budget.
     pub budget: BudgetParameters,
+    /// Roll-outs.
+    pub rollouts: RolloutParameters,
     /// Membership.
     pub membership: crate::membership::MembershipParameters,
 }
--- a/crates/thornbridge-core/src/gateway/peer_messages.rs
+++ b/crates/thornbridge-core/src/gateway/peer_messages.rs
@@ -27,6 +27,7 @@
                     self.quarantine.merge(self.now, &mut self.actions, record);
                 }
             }
+            PeerMessage::Rollout(_) => {}
             // Query and action clusters ([`crate::Node`]) use these messages, gateways do not.
             PeerMessage::Configuration(_) | PeerMessage::Health(_) | PeerMessage::Action(_) => {}
         }
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -13,6 +13,8 @@
 mod scarcity;
 mod server;
 mod subset;
+#[allow(dead_code)]
+mod versions;
 
 pub(super) use choosing::Choice;
 pub(super) use connections::{AcquireOutcome, Connection};
@@ -22,6 +24,8 @@
 pub(super) use queue::QueuedPart;
 pub(super) use server::{Availability, Server};
 pub(super) use subset::MemberLocation;
+#[allow(unused_imports)]
+pub(super) use versions::{VersionRole, VersionRoles};
 
 use super::action::GatewayAction;
 use super::budget::ServiceKey;
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -24,7 +24,8 @@
 };
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 use thornbridge_proto::{
-    AttemptId, BackEndId, Incarnation, NodeId, NodeName, RegionName, ServiceName, ZoneName,
+    AttemptId, BackEndId, Incarnation, NodeId, NodeName, RegionName, ServerVersion, ServiceName,
+    ZoneName,
 };
 
 /// Record returned by every shard.
@@ -98,6 +99,7 @@
         zone: ZoneName::new("zone"),
         slots: 2,
         state,
+        version: ServerVersion::default(),
         cold_milliseconds: 0,
     }
 }
--- a/crates/thornbridge-core/src/gateway/view_updates.rs
+++ b/crates/thornbridge-core/src/gateway/view_updates.rs
@@ -113,6 +113,7 @@
             ViewKind::Configuration => &mut self.configuration_source,
             ViewKind::Registry => &mut self.registry_source,
             ViewKind::Evacuations => &mut self.evacuation_source,
+            ViewKind::Rollouts => return,
         };
         let update = source.replied(self.now, &mut self.random, &mut self.actions, read, result);
         let Some(update) = update else {
@@ -150,7 +151,10 @@
                 ViewObject::EvacuationStarted(zone) => {
                     evacuated.insert(zone);
                 }
-                ViewObject::InstanceRemoved(..) | ViewObject::EvacuationEnded(_) => {}
+                ViewObject::InstanceRemoved(..)
+                | ViewObject::EvacuationEnded(_)
+                | ViewObject::Rollout(_)
+                | ViewObject::RolloutWithdrawn(..) => {}
             }
         }
         if kind == ViewKind::Evacuations {
@@ -246,6 +250,7 @@
                     zone,
                     evacuated: false,
                 }),
+                ViewObject::Rollout(_) | ViewObject::RolloutWithdrawn(..) => {}
                 ViewObject::Unusable {
                     name,
                     revision,
--- a/crates/thornbridge-core/tests/members/cluster.rs
+++ b/crates/thornbridge-core/tests/members/cluster.rs
@@ -390,7 +390,8 @@
             | PeerMessage::Action(_)
             | PeerMessage::View(_)
             | PeerMessage::Slice(_)
-            | PeerMessage::Quarantine(_) => {}
+            | PeerMessage::Quarantine(_)
+            | PeerMessage::Rollout(_) => {}
         });
     }
 
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -319,6 +319,8 @@
                 timeout,
             } => self.store.start(kind, read, what, timeout),
             GatewayAction::SendPeer { to, message } => self.send_peer(to, &message),
+            // No store protocol writes states yet.
+            GatewayAction::WriteState { .. } => {}
             GatewayAction::SetReady { ready } => {
                 log::info!(ready; "readiness changed");
                 self.outputs.ready.send_replace(ready);
--- a/crates/thornbridge-proto/src/identifiers.rs
+++ b/crates/thornbridge-proto/src/identifiers.rs
@@ -84,6 +84,17 @@
     /// Identity of one back-end server, unique in a bundle.
     BackEndId
 );
+name_type!(
+    /// Version of the software that a server runs; empty where it is unknown.
+    ServerVersion
+);
+
+impl Default for ServerVersion {
+    fn default() -> Self {
+        Self::new("")
+    }
+}
+
 name_type!(
     /// Identity of one index snapshot of a service.
     SnapshotId
--- a/crates/thornbridge-proto/src/lib.rs
+++ b/crates/thornbridge-proto/src/lib.rs
@@ -17,6 +17,6 @@
 
 pub use identifiers::{
     AttemptId, BackEndId, BundleVersion, ChangeId, Digest, DocumentId, Generation, Incarnation,
-    LayoutId, NodeId, NodeName, RegionName, RequestId, SectionName, ServiceName, ShardId,
-    SnapshotId, ZoneName,
+    LayoutId, NodeId, NodeName, RegionName, RequestId, SectionName, ServerVersion, ServiceName,
+    ShardId, SnapshotId, ZoneName,
 };
--- a/crates/thornbridge-proto/src/peer/mod.rs
+++ b/crates/thornbridge-proto/src/peer/mod.rs
@@ -6,6 +6,7 @@
 pub mod membership;
 mod packed_registry;
 pub mod quarantine;
+pub mod rollout;
 pub mod slice;
 pub mod view;
 
@@ -52,4 +53,7 @@
     /// Requests under which servers crashed.
     #[serde(rename = "q")]
     Quarantine(quarantine::QuarantineMessage),
+    /// Roll-outs of server versions. Sent only to peers known to understand it.
+    #[serde(rename = "o")]
+    Rollout(rollout::RolloutMessage),
 }
--- a/crates/thornbridge-proto/src/peer/packed_registry.rs
+++ b/crates/thornbridge-proto/src/peer/packed_registry.rs
@@ -1,7 +1,7 @@
 //! Registry entries as they are encoded: services, zones and their names once, not in each entry.
 
 use super::view::{Instance, InstanceState, RegistryDelta, StoreRevision};
-use crate::{BackEndId, ServiceName, ZoneName};
+use crate::{BackEndId, ServerVersion, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, Snafu};
 use std::collections::BTreeMap;
@@ -108,6 +108,7 @@
                 service: name_at(services, entry.service, &entry.id)?,
                 address: entry.address,
                 zone: name_at(zones, entry.zone, &entry.id)?,
+                version: ServerVersion::default(),
                 slots: entry.slots,
                 state: entry.state,
                 cold_milliseconds: entry.cold_milliseconds,
--- a/crates/thornbridge-proto/src/peer/view.rs
+++ b/crates/thornbridge-proto/src/peer/view.rs
@@ -7,7 +7,7 @@
 //! one is older goes by the era of the store first ([`StoreRevision`]).
 
 use super::packed_registry::PackedRegistry;
-use crate::{BackEndId, ServiceName, ZoneName};
+use crate::{BackEndId, ServerVersion, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -66,6 +66,8 @@
     pub address: SocketAddr,
     /// Its zone.
     pub zone: ZoneName,
+    /// Version of its software; empty where it is unknown.
+    pub version: ServerVersion,
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it takes requests.
--- a/crates/thornbridge-rehearsal/src/gateway/report.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/report.rs
@@ -39,7 +39,8 @@
             PeerMessage::Configuration(_)
             | PeerMessage::Health(_)
             | PeerMessage::Action(_)
-            | PeerMessage::Quarantine(_) => Self::Other,
+            | PeerMessage::Quarantine(_)
+            | PeerMessage::Rollout(_) => Self::Other,
         }
     }
 }
--- a/crates/thornbridge-rehearsal/src/gateway/server.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/server.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use thornbridge_core::{ConnectionId, Timestamp};
 use thornbridge_proto::peer::view::{Instance, InstanceState};
-use thornbridge_proto::{BackEndId, ServiceName, ZoneName};
+use thornbridge_proto::{BackEndId, ServerVersion, ServiceName, ZoneName};
 
 /// Requests that wait at most.
 const QUEUE: usize = 12;
@@ -114,6 +114,7 @@
                 true => InstanceState::Draining,
                 false => InstanceState::Ready,
             },
+            version: ServerVersion::default(),
             cold_milliseconds: 0,
         }
     }
--- a/crates/thornbridge-rehearsal/src/gateway/store.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/store.rs
@@ -194,6 +194,7 @@
                 let zones = self.evacuated.iter().cloned();
                 whole(zones.map(ViewObject::EvacuationStarted).collect())
             }
+            ViewKind::Rollouts => whole(Vec::new()),
             ViewKind::Registry => self.page_of_servers(after.unwrap_or_default()),
         }
     }
--- a/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/handling.rs
@@ -100,7 +100,8 @@
             GatewayAction::Changed(GatewayChange::Instance { id, state, .. }) => {
                 self.instance_known(&id, state);
             }
-            GatewayAction::SetLimits { .. }
+            GatewayAction::WriteState { .. }
+            | GatewayAction::SetLimits { .. }
             | GatewayAction::Finished(_)
             | GatewayAction::Changed(_) => {}
         }
