A slice task that never left its node uses no attempt

Cause: a coordinator asked owners that were gone. Opening a link to them failed, which counted like a link that broke under way: the owner might have used the attempt that it was granted. Two such owners and the slice had none left.

Change: a failed dial tells which slice tasks were still queued for it. They never left, so the slice keeps its attempts, further owners are asked, and the owner is avoided for a while. Tasks on a link that broke count as before.

Ruled out: going by the time until a link was lost (an owner may run within a millisecond).

Tests: unreachable_owners_use_no_attempts, unreachable_owner_is_avoided_by_later_gathers, failed_dial_reports_unsent_tasks (none can pass before: there was no such event).

--- a/crates/thornbridge-core/src/event.rs
+++ b/crates/thornbridge-core/src/event.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use thornbridge_proto::back_end::{BackEndReply, LoadReport};
 use thornbridge_proto::caller::{ActionRequest, QueryRequest};
+use thornbridge_proto::peer::slice::SliceId;
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 use thornbridge_proto::platform::{PlatformFailure, PlatformResponse, WatchChange, WatchEnd};
 use thornbridge_proto::{AttemptId, BackEndId};
@@ -85,6 +86,14 @@
         /// Address of the peer.
         address: std::net::SocketAddr,
     },
+    /// Slice tasks were dropped because no link to the peer could be opened; nothing of them left this
+    /// node. Gateways only.
+    PeerTasksUnsent {
+        /// Address of the peer.
+        address: std::net::SocketAddr,
+        /// Slices of the tasks.
+        slices: Vec<SliceId>,
+    },
     /// The platform's store answered a request, or the request failed.
     PlatformReply {
         /// Id of the request.
--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -327,6 +327,13 @@
         /// Slice.
         slice: SliceId,
     },
+    /// No link to a slice owner could be opened; nothing of these slices' tasks left this node.
+    OwnerUnreachable {
+        /// Slice owner.
+        owner: SocketAddr,
+        /// Slices.
+        slices: Vec<SliceId>,
+    },
     /// A request relayed by a peer could not be decoded.
     RelayMalformed {
         /// Handle assigned to the relayed request.
--- a/crates/thornbridge-core/src/gateway/exchange/reports.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/reports.rs
@@ -29,6 +29,33 @@
         self.slice_reported(context, owner, slice, SliceReport::refusal(), false);
     }
 
+    /// Delegates slices to other owners after no link to their owner could be opened.
+    pub(in crate::gateway) fn owner_unreachable(
+        &mut self,
+        context: &mut Context<'_>,
+        owner: SocketAddr,
+        slices: &[SliceId],
+    ) {
+        context.slices.owner_failed(context.now, owner);
+        for id in slices {
+            self.delegate_unsent(context, owner, *id);
+        }
+    }
+
+    fn delegate_unsent(&mut self, context: &mut Context<'_>, owner: SocketAddr, id: SliceId) {
+        let Some((caller, index)) = self.delegated_slices.get(&id).copied() else {
+            return;
+        };
+        let Some(mut request) = self.requests.remove(&caller) else {
+            return;
+        };
+        if request.slices[index].is_delegated_to(owner, id) {
+            self.owner_lost(context, &mut request, index, id, SliceOutcome::Unsent);
+        }
+        self.requests.insert(caller, request);
+        self.advance(context, caller);
+    }
+
     /// Handles a report, and a request for further attempts if the owner makes one.
     pub(in crate::gateway) fn slice_reported(
         &mut self,
@@ -119,7 +146,7 @@
         .delegations
         .iter()
         .filter(|delegation| delegation.id != sender.id);
-    let sole_owner = others.all(|delegation| delegation.outcome == SliceOutcome::Refused);
+    let sole_owner = others.all(|delegation| delegation.outcome.is_not_run());
     let attempts = match sole_owner {
         true => 1 + max_attempts.saturating_sub(slice.granted_attempts),
         false => 1,
--- a/crates/thornbridge-core/src/gateway/exchange/slice.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/slice.rs
@@ -44,7 +44,10 @@
     pub(super) fn may_report(&self) -> bool {
         match self.outcome {
             SliceOutcome::Pending | SliceOutcome::Silent | SliceOutcome::Partial => true,
-            SliceOutcome::Finished | SliceOutcome::Refused | SliceOutcome::Lost => false,
+            SliceOutcome::Finished
+            | SliceOutcome::Refused
+            | SliceOutcome::Unsent
+            | SliceOutcome::Lost => false,
         }
     }
 }
@@ -82,6 +85,13 @@
         self.plan.groups[self.group].shards.clone()
     }
 
+    /// Number of owners that the slice's tasks were sent to.
+    pub(super) fn sent_delegations(&self) -> usize {
+        let sent = self.delegations.iter();
+        sent.filter(|delegation| delegation.outcome != SliceOutcome::Unsent)
+            .count()
+    }
+
     /// Owners to which the slice was delegated.
     pub(super) fn owners(&self) -> Vec<SocketAddr> {
         self.delegations
--- a/crates/thornbridge-core/src/gateway/exchange/slice_coordinator.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/slice_coordinator.rs
@@ -60,8 +60,8 @@
         let owner = context
             .slices
             .choose_owner(context.now, group, &delegated_to);
-        let may_delegate =
-            delegated_to.len() < MAX_DELEGATIONS && slice.granted_attempts < request.max_attempts;
+        let may_delegate = slice.sent_delegations() < MAX_DELEGATIONS
+            && slice.granted_attempts < request.max_attempts;
         match owner.filter(|_| may_delegate) {
             Some(owner) if owner != context.own_address => {
                 self.send_task(context, request, index, owner);
@@ -158,7 +158,7 @@
         self.delegated_slices.remove(&id);
         let slice = &mut request.slices[index];
         slice.set_outcome(id, outcome);
-        if outcome == SliceOutcome::Refused {
+        if outcome.is_not_run() {
             slice.granted_attempts -= 1;
         }
         if slice.open_delegations().next().is_none() {
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -67,6 +67,10 @@
                 let (exchanges, mut context) = self.exchanges();
                 exchanges.task_not_sent(&mut context, owner, slice);
             }
+            GatewayEvent::OwnerUnreachable { owner, slices } => {
+                let (exchanges, mut context) = self.exchanges();
+                exchanges.owner_unreachable(&mut context, owner, &slices);
+            }
             GatewayEvent::RelayMalformed { caller } => {
                 let (exchanges, mut context) = self.exchanges();
                 exchanges.relay_malformed(&mut context, caller);
--- a/crates/thornbridge-core/src/gateway/telemetry.rs
+++ b/crates/thornbridge-core/src/gateway/telemetry.rs
@@ -97,11 +97,18 @@
     Finished,
     /// The owner refused the slice.
     Refused,
+    /// The task could not be sent.
+    Unsent,
     /// The link to the owner broke.
     Lost,
 }
 
 impl SliceOutcome {
+    /// Whether the owner certainly ran nothing.
+    pub(super) fn is_not_run(self) -> bool {
+        matches!(self, Self::Refused | Self::Unsent)
+    }
+
     /// Label for logs.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -110,6 +117,7 @@
             Self::Partial => "reporting",
             Self::Finished => "finished",
             Self::Refused => "refused",
+            Self::Unsent => "unsent",
             Self::Lost => "lost",
         }
     }
--- a/crates/thornbridge-core/src/gateway/tests/slices.rs
+++ b/crates/thornbridge-core/src/gateway/tests/slices.rs
@@ -291,6 +291,43 @@
     assert_eq!(harness.sent_for(caller).len(), SHARDS);
 }
 
+/// Guards against gathers that fail because many members were killed at once: a task that never left
+/// this node uses no attempt.
+#[test]
+fn unreachable_owners_use_no_attempts() {
+    let mut harness = node_with_peers(SMALL_CORE_SHARE);
+    let caller = harness.send_request("/search/1");
+    let mut tasks = std::mem::take(&mut harness.tasks);
+    let mut tried = Vec::new();
+    for _ in 0..3 {
+        let (owner, task) = tasks.remove(0);
+        assert_eq!((task.prior_attempts, task.attempts), (0, 1));
+        assert!(!tried.contains(&owner), "an owner was asked again");
+        tried.push(owner);
+        harness.event(GatewayEvent::OwnerUnreachable {
+            owner,
+            slices: vec![task.slice],
+        });
+        harness.event(GatewayEvent::PeerLinkDown { address: owner });
+        let delegated_again = std::mem::take(&mut harness.tasks);
+        tasks.splice(0..0, delegated_again);
+    }
+    report_all(&mut harness, &tasks);
+    assert_eq!(missing_shards(&harness, caller), Some(0));
+}
+
+#[test]
+fn unreachable_owner_is_avoided_by_later_gathers() {
+    let mut harness = node_with_peers(SMALL_CORE_SHARE);
+    harness.send_request("/search/1");
+    let (owner, task) = harness.tasks[0].clone();
+    let slices = vec![task.slice];
+    harness.event(GatewayEvent::OwnerUnreachable { owner, slices });
+    harness.tasks.clear();
+    harness.send_request("/search/2");
+    assert!(harness.tasks.iter().all(|(other, _)| *other != owner));
+}
+
 #[test]
 fn slice_with_unusable_request_is_refused_without_retry() {
     let mut harness = node_with_peers(SMALL_CORE_SHARE);
--- a/crates/thornbridge-core/src/node.rs
+++ b/crates/thornbridge-core/src/node.rs
@@ -186,6 +186,7 @@
                 self.control.peer_message(context, from, message);
             }
             Event::PeerLinkDown { address } => self.control.link_down(context, address),
+            Event::PeerTasksUnsent { .. } => {}
             Event::PlatformReply { operation, result } => {
                 self.control.platform_reply(context, operation, &result);
                 self.action_engine
--- a/crates/thornbridge-node/src/driver.rs
+++ b/crates/thornbridge-node/src/driver.rs
@@ -324,7 +324,8 @@
         | Event::WatchEnded { .. }
         | Event::ProbeReplied { .. }
         | Event::ProbeFailed { .. }
-        | Event::PeerLinkDown { .. } => true,
+        | Event::PeerLinkDown { .. }
+        | Event::PeerTasksUnsent { .. } => true,
         _ => false,
     }
 }
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -238,6 +238,10 @@
             Event::PeerMessage { from, message } => {
                 self.handle(GatewayEvent::PeerMessage { from, message });
             }
+            Event::PeerTasksUnsent { address, slices } => {
+                let owner = address;
+                self.handle(GatewayEvent::OwnerUnreachable { owner, slices });
+            }
             Event::PeerLinkDown { address } => {
                 self.handle(GatewayEvent::PeerLinkDown { address });
             }
--- a/crates/thornbridge-node/src/peers/mod.rs
+++ b/crates/thornbridge-node/src/peers/mod.rs
@@ -3,8 +3,9 @@
 //! A link is opened when the core first sends to an address, carries messages in both directions,
 //! and is closed when it has been idle for a while. Delivery is best effort: each peer has a
 //! bounded queue that drops its oldest messages when full. If a link cannot be opened, the queue is
-//! emptied. The core receives `PeerLinkDown` for a link that cannot be opened or that breaks. See
-//! [`handshake`] for the authentication of peers.
+//! emptied. The core receives `PeerLinkDown` for a link that cannot be opened or that breaks, and
+//! before it `PeerTasksUnsent` for slice tasks in an emptied queue. See [`handshake`] for the
+//! authentication of peers.
 
 mod counters;
 mod handshake;
@@ -19,12 +20,14 @@
 
 use crate::input::InputSender;
 use crate::sockets;
+use bytes::Bytes;
 use counters::{AtomicPeerCounters, LinkError, increment};
 use handshake::{Established, Identity};
 use link::{LinkContext, LinkEnd, LinkLimits};
 use queue::{QueueLimits, SendQueue};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +35,7 @@
 use thornbridge_config::keys::ClusterKey;
 use thornbridge_core::Event;
 use thornbridge_proto::frame;
+use thornbridge_proto::peer::slice::{SliceId, SliceMessage};
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
@@ -251,15 +255,30 @@
         }
         Err(error) => {
             shared.counters.record_error(address.ip(), error);
-            let dropped = queue.take().len() as u64;
-            counters::add(&shared.counters.messages_dropped, dropped);
+            let dropped = queue.take();
+            counters::add(&shared.counters.messages_dropped, dropped.len() as u64);
             let backoff = jittered_backoff(&shared, address);
             shared.table.dial_failed(address, backoff);
+            let slices = slices_of_tasks(&dropped);
+            if !slices.is_empty() {
+                let unsent = Event::PeerTasksUnsent { address, slices };
+                let _ = shared.inputs.event(unsent).await;
+            }
             let _ = shared.inputs.event(Event::PeerLinkDown { address }).await;
         }
     }
 }
 
+/// Slices whose tasks are among encoded messages.
+fn slices_of_tasks(messages: &VecDeque<Bytes>) -> Vec<SliceId> {
+    let decoded = messages.iter().map(|message| frame::decode(message));
+    let slices = decoded.filter_map(|message| match message {
+        Ok(PeerMessage::Slice(SliceMessage::Ask { task, .. })) => Some(task.slice),
+        _ => None,
+    });
+    slices.collect()
+}
+
 async fn connect(shared: &Shared, address: SocketAddr) -> Result<Established, LinkError> {
     let stream = TcpStream::connect(address)
         .await
--- a/crates/thornbridge-node/src/peers/tests.rs
+++ b/crates/thornbridge-node/src/peers/tests.rs
@@ -15,7 +15,9 @@
 use thornbridge_config::keys::ClusterKey;
 use thornbridge_core::Event;
 use thornbridge_proto::NodeId;
+use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::health::HealthMessage;
+use thornbridge_proto::peer::slice::{SliceId, SliceMessage, SliceTask};
 use thornbridge_proto::peer::{PROTOCOL_VERSION, PeerEndpoint, PeerMessage};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -29,6 +31,27 @@
 
 const MESSAGE: PeerMessage = PeerMessage::Health(HealthMessage::Request);
 
+fn slice_task(slice: u64) -> PeerMessage {
+    let task = SliceTask {
+        slice: SliceId(slice),
+        request_id: String::new(),
+        fingerprint: Fingerprint::default(),
+        host: String::new(),
+        prefix: String::new(),
+        version: 1,
+        shards: Vec::new(),
+        records: 1,
+        attempts: 1,
+        prior_attempts: 0,
+        objective_us: 0,
+        report_in_us: 0,
+        second_after_us: 0,
+        ends_in_us: 0,
+    };
+    let request = Vec::new().into();
+    PeerMessage::Slice(SliceMessage::Ask { task, request })
+}
+
 async fn start_node(node: u64, key: &ClusterKey) -> TestNode {
     let parameters = PeerParameters {
         hello_timeout: Duration::from_secs(20),
@@ -238,6 +261,22 @@
     assert_eq!(left.peers.counters().messages_dropped, 2);
 }
 
+/// Guards against tasks that count as run although they never left this node.
+#[tokio::test]
+async fn failed_dial_reports_unsent_tasks() {
+    let key = key();
+    let mut left = start_node(1, &key).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    left.peers.send(address, &MESSAGE);
+    left.peers.send(address, &slice_task(7));
+    assert_matches!(left.next().await, Event::PeerTasksUnsent { address: peer, slices } => {
+        assert_eq!((peer, slices), (address, vec![SliceId(7)]));
+    });
+    left.expect_link_down(address).await;
+}
+
 #[tokio::test]
 async fn close_sends_queued_messages_without_link_down() {
     let key = key();
--- a/crates/thornbridge-rehearsal/src/simulator/host.rs
+++ b/crates/thornbridge-rehearsal/src/simulator/host.rs
@@ -129,6 +129,7 @@
         Event::PeerMessage { message, .. } => !matches!(message, PeerMessage::Action(_)),
         Event::Started
         | Event::PeerLinkDown { .. }
+        | Event::PeerTasksUnsent { .. }
         | Event::PlatformReply { .. }
         | Event::WatchChanged { .. }
         | Event::WatchEnded { .. }
--- a/crates/thornbridge-rehearsal/src/simulator/node_steps.rs
+++ b/crates/thornbridge-rehearsal/src/simulator/node_steps.rs
@@ -183,7 +183,7 @@
         Event::ProbeReplied { .. } => 9,
         Event::ProbeFailed { .. } => 10,
         Event::PeerMessage { .. } => 11,
-        Event::PeerLinkDown { .. } => 12,
+        Event::PeerLinkDown { .. } | Event::PeerTasksUnsent { .. } => 12,
         Event::PlatformReply { operation, .. } => 13 + (operation.0 << 5),
         Event::WatchChanged { watch, .. } => 14 + (watch.0 << 5),
         Event::WatchEnded { watch, .. } => 15 + (watch.0 << 5),
