A part whose extra attempt cannot be paid in time has failed

Change: with no attempt in flight, such a part waits only if the budget may allow one before the request ends, by the attempts that leave the window until then. Otherwise it has failed: the search is refused at once if it can no longer reach its least share, and otherwise answered without the part. An owner of a slice waits while its coordinator may still lend. A request of one part waits as before.

Ruled out: a limit on the number of denials (it says nothing about the time that is left).

Tests: gather_that_cannot_reach_its_least_share_is_refused_at_once (held before), gather_that_may_reach_its_least_share_is_held, gather_waits_for_a_budget_that_recovers_in_time.

--- a/crates/thornbridge-core/src/gateway/budget/history.rs
+++ b/crates/thornbridge-core/src/gateway/budget/history.rs
@@ -69,6 +69,26 @@
         })
     }
 
+    /// Counts of the windows that contain a later time, if there are no further extra attempts and
+    /// requests arrive as often as before.
+    pub(super) fn windows_at(
+        &mut self,
+        now: Timestamp,
+        at: Timestamp,
+    ) -> impl Iterator<Item = WindowCounts> + '_ {
+        let later = at.since(now).as_micros() / self.bucket_duration.as_micros().max(1);
+        let later = usize::try_from(later).unwrap_or(KEPT_BUCKETS);
+        let requests: Vec<u32> = self.windows(now).map(|counts| counts.requests).collect();
+        requests
+            .into_iter()
+            .enumerate()
+            .map(move |(first_age, requests)| {
+                let counted = (first_age + ARRIVAL_LAG_BUCKETS + 1).saturating_sub(later);
+                let extra = self.extra[..counted].iter().sum();
+                WindowCounts { extra, requests }
+            })
+    }
+
     /// Begins the buckets up to that of `now`.
     fn advance(&mut self, now: Timestamp) {
         let bucket_us = self.bucket_duration.as_micros().max(1);
--- a/crates/thornbridge-core/src/gateway/budget/mod.rs
+++ b/crates/thornbridge-core/src/gateway/budget/mod.rs
@@ -46,6 +46,23 @@
     usage: ServiceUsage,
 }
 
+/// Extra attempts allowed in a window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Allowance {
+    /// Earned by each request.
+    by_request: f64,
+    /// Beyond those.
+    slack: f64,
+}
+
+impl Allowance {
+    /// Whether another extra attempt fits into a window with these counts.
+    fn fits(self, counts: WindowCounts) -> bool {
+        let requests = f64::from(counts.requests) / 2.0;
+        f64::from(counts.extra) + 1.0 <= self.by_request * requests + self.slack
+    }
+}
+
 /// Upper bound of the number of nodes that share the slack.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum MemberBound {
@@ -144,24 +161,42 @@
 
     /// Whether an extra attempt is allowed now.
     pub(super) fn allows(&mut self, now: Timestamp, service: ServiceKey) -> bool {
-        let settling = self.is_settling(now);
-        let slack = self.slack_allowance(service);
-        let used_share = self.parameters.used_share;
-        let (earned_share, slack) = match settling {
-            true => (1.0 - used_share, 0.0),
-            false => (used_share, slack),
-        };
-        let earned_by_request = earned_share * self.parameters.ratio;
-        let fits = |counts: WindowCounts| {
-            let requests = f64::from(counts.requests) / 2.0;
-            f64::from(counts.extra) + 1.0 <= earned_by_request * requests + slack
-        };
+        let allowance = self.allowance(now, service);
         let budget = self.budget(service);
-        let allowed = budget.history.windows(now).all(fits);
+        let mut windows = budget.history.windows(now);
+        let allowed = windows.all(|counts| allowance.fits(counts));
+        drop(windows);
         budget.usage.denied += u64::from(!allowed);
         allowed
     }
 
+    /// Whether an extra attempt may be allowed at `by`, a later time, if there are no others until then.
+    pub(super) fn may_allow_by(
+        &mut self,
+        now: Timestamp,
+        by: Timestamp,
+        service: ServiceKey,
+    ) -> bool {
+        let allowance = self.allowance(by, service);
+        let history = &mut self.budget(service).history;
+        history
+            .windows_at(now, by)
+            .all(|counts| allowance.fits(counts))
+    }
+
+    /// Extra attempts that this node may send to a service in a window.
+    fn allowance(&self, now: Timestamp, service: ServiceKey) -> Allowance {
+        let used_share = self.parameters.used_share;
+        let (earned_share, slack) = match self.is_settling(now) {
+            true => (1.0 - used_share, 0.0),
+            false => (used_share, self.slack_allowance(service)),
+        };
+        Allowance {
+            by_request: earned_share * self.parameters.ratio,
+            slack,
+        }
+    }
+
     /// Takes one extra attempt from the budget; returns `false` and takes none if it is exhausted.
     #[must_use]
     pub(super) fn try_take(&mut self, now: Timestamp, service: ServiceKey) -> bool {
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -107,8 +107,8 @@
     }
 
     /// Charges the budget if the next attempt is an extra one. If denied, the part is checked again
-    /// later; a request of one part with no attempt in flight fails instead, unless it is a caller's
-    /// retry.
+    /// later. With no attempt in flight it fails instead: in a gather if the budget will not allow one
+    /// in time, otherwise unless the request is a caller's retry.
     #[must_use]
     fn charge_budget(
         &self,
@@ -131,7 +131,10 @@
             request.request_renewal();
         }
         request.budget_denials += 1;
-        let may_wait = request.is_gather() || request.is_caller_retry();
+        let may_wait = match request.is_gather() {
+            true => Self::may_be_charged_in_time(context, request, index),
+            false => request.is_caller_retry(),
+        };
         let part = &mut request.parts[index];
         part.budget_denied = true;
         if may_wait || !part.in_flight.is_empty() {
@@ -142,6 +145,15 @@
         false
     }
 
+    /// Whether an extra attempt of a part may be paid for while its request lasts.
+    fn may_be_charged_in_time(context: &mut Context<'_>, request: &Request, index: usize) -> bool {
+        let service = request.parts[index].service;
+        request.awaits_grant()
+            || context
+                .budget
+                .may_allow_by(context.now, request.deadline, service)
+    }
+
     pub(super) fn send(
         &mut self,
         context: &mut Context<'_>,
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -25,4 +25,5 @@
 mod sources;
 mod subsets;
 mod support;
+mod unpaid_parts;
 mod zone_peers;
