Shards of a gather are grouped by the zones of their servers

Cause: groups were runs of the route's list. Of ten shards with servers in three of four zones each, an owner in any zone had two or three without a server near it, and their parts crossed zones one by one.

Change: a group holds shards with servers in the same zones, and its owners stand in these zones. Zones of fewer shards than half a group share one. A zone counts for 30 s after its last server left, so that crashes move no shard to owners without connections. The plan holds the order of the shards and is used for the configuration that it was made for only.

Ruled out: a greater cost of servers in other zones (hedges and busy servers need them).

--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -165,7 +165,11 @@
             .slices
             .plan(context.now, route.key)
             .filter(|_| !context.messages_may_be_stale && policy == SendPolicy::Unrestricted);
-        let plan = plan.filter(|plan| plan.covers(services.len()));
+        let plan = plan.filter(|plan| plan.fits(&route));
+        let services = match &plan {
+            Some(plan) => plan.shards.clone(),
+            None => services,
+        };
         let parts = services.into_iter().map(Part::new).collect();
         let mut request = Request {
             caller,
--- a/crates/thornbridge-core/src/gateway/exchange/slice_coordinator.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/slice_coordinator.rs
@@ -12,7 +12,7 @@
 use super::{Context, Exchanges};
 use crate::driver_action::CallerId;
 use crate::gateway::action::GatewayAction;
-use crate::gateway::routes::{ResolvedGather, ResolvedTarget};
+use crate::gateway::routes::ResolvedTarget;
 use crate::gateway::slices::Plan;
 use crate::gateway::telemetry::{AttemptCause, GatewayChange, SliceOutcome};
 use crate::time::Timestamp;
@@ -271,7 +271,7 @@
         host: route.host.clone(),
         prefix: route.prefix.clone(),
         version: request.route.version.0,
-        shards: shard_names(context, gather, slice),
+        shards: shard_names(context, slice),
         records: u32::try_from(gather.records).unwrap_or(u32::MAX),
         attempts: slice.granted_attempts + 1,
         prior_attempts: slice.granted_attempts,
@@ -305,12 +305,8 @@
     }
 }
 
-fn shard_names(
-    context: &Context<'_>,
-    gather: &ResolvedGather,
-    slice: &Slice,
-) -> Vec<thornbridge_proto::ServiceName> {
-    let shards = gather.shards[slice.shards()].iter();
+fn shard_names(context: &Context<'_>, slice: &Slice) -> Vec<thornbridge_proto::ServiceName> {
+    let shards = slice.plan.shards[slice.shards()].iter();
     let names = shards.filter_map(|shard| context.servers.service_name(*shard));
     names.cloned().collect()
 }
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -188,7 +188,7 @@
         if !std::mem::take(&mut self.slices_outdated) {
             return;
         }
-        let mut owned = self.slices.divide(&self.routes, &self.servers);
+        let mut owned = self.slices.divide(self.now, &self.routes, &self.servers);
         if let Some(staged) = self.staging.get() {
             let configuration = Arc::clone(&staged.configuration);
             let mut routes = RouteTable::default();
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -203,7 +203,7 @@
     }
 
     /// Whether the server is displaced, draining or gone.
-    pub(super) fn is_leaving(&self) -> bool {
+    pub(in crate::gateway) fn is_leaving(&self) -> bool {
         match self.availability {
             Availability::Displaced | Availability::Draining | Availability::Gone => true,
             Availability::Ready | Availability::Vanished { .. } => false,
--- a/crates/thornbridge-core/src/gateway/slices/mod.rs
+++ b/crates/thornbridge-core/src/gateway/slices/mod.rs
@@ -10,6 +10,7 @@
 //! a while.
 
 mod assignment;
+mod grouping;
 mod plan;
 
 #[cfg(test)]
@@ -22,6 +23,7 @@
 use super::routes::RouteKey;
 use super::servers::{MemberLocation, Placement};
 use crate::time::Timestamp;
+use grouping::ShardZones;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -54,6 +56,7 @@
     own_address: SocketAddr,
     members: Vec<MemberLocation>,
     plans: BTreeMap<RouteKey, Arc<Plan>>,
+    shard_zones: ShardZones,
     /// Decayed failures of owners, as of a time.
     failures: BTreeMap<SocketAddr, (f64, Timestamp)>,
     /// Decayed queue length of owners in parts, as of a time.
@@ -84,6 +87,7 @@
             own_address,
             members: Vec::new(),
             plans: BTreeMap::new(),
+            shard_zones: ShardZones::default(),
             failures: BTreeMap::new(),
             owner_queues: BTreeMap::new(),
             overhead: DelayEstimator::default(),
--- a/crates/thornbridge-core/src/gateway/slices/plan.rs
+++ b/crates/thornbridge-core/src/gateway/slices/plan.rs
@@ -2,15 +2,18 @@
 
 use super::Slices;
 use super::assignment::{assign_owners, rank};
+use super::grouping::{ZonedGroup, group_by_zones};
 use crate::gateway::budget::ServiceKey;
-use crate::gateway::routes::{ResolvedGather, ResolvedTarget, RouteKey, RouteTable};
+use crate::gateway::routes::{ResolvedGather, ResolvedRoute, ResolvedTarget, RouteKey, RouteTable};
 use crate::gateway::servers::{MemberLocation, Servers};
 use crate::routing::subset::identity_hash;
+use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
+use thornbridge_config::routes::RouteVersion;
 use thornbridge_proto::ZoneName;
 
 /// Minimum number of groups for a division.
@@ -19,7 +22,7 @@
 /// Shards served by one node, and the members that own them.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(in crate::gateway) struct Group {
-    /// Indices into the gather's shards.
+    /// Indices into the plan's shards.
     pub(in crate::gateway) shards: Range<usize>,
     /// Owners in order of preference; in a plan, this node only if there is no other.
     pub(in crate::gateway) owners: Vec<SocketAddr>,
@@ -28,6 +31,10 @@
 /// Division plan of a gather.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(in crate::gateway) struct Plan {
+    /// Version of the route's configuration.
+    pub(in crate::gateway) version: RouteVersion,
+    /// Shards of the gather, in the order of the groups.
+    pub(in crate::gateway) shards: Vec<ServiceKey>,
     pub(in crate::gateway) groups: Vec<Group>,
 }
 
@@ -41,11 +48,14 @@
 }
 
 impl Plan {
-    /// Whether the plan fits a gather of this many shards.
-    pub(in crate::gateway) fn covers(&self, shards: usize) -> bool {
-        self.groups
-            .last()
-            .is_some_and(|group| group.shards.end == shards)
+    /// Whether the plan was made for this route.
+    pub(in crate::gateway) fn fits(&self, route: &ResolvedRoute) -> bool {
+        match &route.target {
+            ResolvedTarget::Gather(gather) => {
+                self.version == route.version && self.shards.len() == gather.shards.len()
+            }
+            ResolvedTarget::Service(_) | ResolvedTarget::Split(_) => false,
+        }
     }
 }
 
@@ -53,10 +63,12 @@
     /// Rebuilds the plans of the active routes; returns the ownership of services.
     pub(in crate::gateway) fn divide(
         &mut self,
+        now: Timestamp,
         routes: &RouteTable,
         servers: &Servers,
     ) -> BTreeMap<ServiceKey, Ownership> {
         let mut owned = BTreeMap::new();
+        self.shard_zones.update(now, &routes.shards(), servers);
         self.plans = self.build_plans(routes, servers, &mut owned);
         owned
     }
@@ -84,51 +96,59 @@
                 continue;
             };
             let objective = route.route.latency_objective;
-            let Some(groups) = self.groups(gather, objective, servers) else {
+            let Some((shards, groups)) = self.groups(gather, objective, servers) else {
                 continue;
             };
-            self.record_owners(gather, &groups, owned);
+            self.record_owners(&shards, &groups, owned);
             let groups = groups.into_iter().map(|group| self.exclude_self(group));
             let groups: Vec<Group> = groups.collect();
             if groups.iter().all(|group| !group.owners.is_empty()) {
-                plans.insert(route.key, Arc::new(Plan { groups }));
+                let plan = Plan {
+                    version: route.version,
+                    shards,
+                    groups,
+                };
+                plans.insert(route.key, Arc::new(plan));
             }
         }
         plans
     }
 
-    /// Groups of a gather with all their owners; `None` if it is not to be divided.
+    /// Shards of a gather in the order of its groups, and the groups with all their owners; `None` if
+    /// it is not to be divided.
     fn groups(
         &self,
         gather: &ResolvedGather,
         objective: Duration,
         servers: &Servers,
-    ) -> Option<Vec<Group>> {
+    ) -> Option<(Vec<ServiceKey>, Vec<Group>)> {
         let candidates = self.candidates(gather, servers);
         let parts = gather.shards.len();
         let count = ((parts as f64).sqrt().round() as usize).min(candidates.len());
         if count < MIN_GROUPS || !self.is_cheaper_divided(parts, count, objective) {
             return None;
         }
-        let size = parts.div_ceil(count);
-        let starts = (0..parts).step_by(size);
-        let ranges: Vec<Range<usize>> = starts
-            .map(|start| start..(start + size).min(parts))
-            .collect();
-        let hashes: Vec<u64> = ranges
-            .iter()
-            .map(|range| group_hash(servers, &gather.shards[range.clone()]))
+        let zones: BTreeSet<&ZoneName> = candidates.iter().map(|member| &member.zone).collect();
+        let zones_of_shards = gather.shards.iter();
+        let zones_of_shards: Vec<BTreeSet<ZoneName>> = zones_of_shards
+            .map(|shard| self.shard_zones.zones(*shard, &zones))
             .collect();
-        let addresses: Vec<SocketAddr> = candidates.iter().map(|member| member.address).collect();
-        let owners = assign_owners(&addresses, &hashes);
-        let groups = ranges
-            .into_iter()
-            .zip(owners)
-            .map(|(shards, owners)| Group {
-                shards,
-                owners: self.sort_owners(owners.iter().map(|position| candidates[*position])),
-            });
-        Some(groups.collect())
+        let zoned = group_by_zones(&zones_of_shards, parts.div_ceil(count));
+        let owners = owners_by_zone(&zoned, &candidates)
+            .unwrap_or_else(|| owners_of_any_zone(&zoned, &candidates));
+        let order = zoned.iter().flat_map(|group| &group.shards);
+        let shards = order.map(|index| gather.shards[*index]).collect();
+        let mut start = 0;
+        let groups = zoned.iter().zip(owners).map(|(group, owners)| {
+            let end = start + group.shards.len();
+            let range = start..end;
+            start = end;
+            Group {
+                shards: range,
+                owners: self.sort_owners(owners.into_iter()),
+            }
+        });
+        Some((shards, groups.collect()))
     }
 
     /// Whether dividing saves time and the undivided gather is expensive enough.
@@ -178,7 +198,7 @@
 
     fn record_owners(
         &self,
-        gather: &ResolvedGather,
+        shards: &[ServiceKey],
         groups: &[Group],
         owned: &mut BTreeMap<ServiceKey, Ownership>,
     ) {
@@ -187,7 +207,7 @@
                 is_owner: group.owners.contains(&self.own_address),
                 owners: group.owners.len() as u32,
             };
-            for shard in &gather.shards[group.shards.clone()] {
+            for shard in &shards[group.shards.clone()] {
                 owned.insert(*shard, ownership);
             }
         }
@@ -202,9 +222,49 @@
     }
 }
 
-fn group_hash(servers: &Servers, shards: &[ServiceKey]) -> u64 {
-    let first = shards
-        .first()
-        .and_then(|shard| servers.service_name(*shard));
-    first.map_or(0, |name| identity_hash(name.as_str()))
+/// Owners of each group among the members of its zones; `None` if a group gets none.
+///
+/// Assigned zone by zone, so that groups have owners in each of their zones.
+fn owners_by_zone<'a>(
+    groups: &[ZonedGroup],
+    candidates: &[&'a MemberLocation],
+) -> Option<Vec<Vec<&'a MemberLocation>>> {
+    let mut owners = vec![Vec::new(); groups.len()];
+    let zones: BTreeSet<&ZoneName> = candidates.iter().map(|member| &member.zone).collect();
+    for zone in zones {
+        let near = |group: &ZonedGroup| group.zones.is_empty() || group.zones.contains(zone);
+        let near: Vec<usize> = (0..groups.len())
+            .filter(|index| near(&groups[*index]))
+            .collect();
+        let members = candidates.iter().filter(|member| member.zone == *zone);
+        let members: Vec<&MemberLocation> = members.copied().collect();
+        let near_groups: Vec<&ZonedGroup> = near.iter().map(|index| &groups[*index]).collect();
+        for (index, added) in near.iter().zip(assign(&near_groups, &members)) {
+            owners[*index].extend(added);
+        }
+    }
+    owners
+        .iter()
+        .all(|owners| !owners.is_empty())
+        .then_some(owners)
+}
+
+/// Owners of each group among all members.
+fn owners_of_any_zone<'a>(
+    groups: &[ZonedGroup],
+    candidates: &[&'a MemberLocation],
+) -> Vec<Vec<&'a MemberLocation>> {
+    let groups: Vec<&ZonedGroup> = groups.iter().collect();
+    assign(&groups, candidates)
+}
+
+fn assign<'a>(
+    groups: &[&ZonedGroup],
+    members: &[&'a MemberLocation],
+) -> Vec<Vec<&'a MemberLocation>> {
+    let hashes: Vec<u64> = groups.iter().map(|group| group.hash).collect();
+    let addresses: Vec<SocketAddr> = members.iter().map(|member| member.address).collect();
+    let owners = assign_owners(&addresses, &hashes).into_iter();
+    let located = owners.map(|owners| owners.into_iter().map(|index| members[index]).collect());
+    located.collect()
 }
