Versions of servers travel in registry messages

Cause: nodes that follow their peers' registry know of no versions, since entries have no field for one, and a new field would break earlier builds.

Ruled out: a trailing field of each entry (earlier builds refuse longer arrays of entries); a message of its own (it could arrive without the entries, or later).

Change: after the names of services, which entries refer to by index, come a marker, the distinct versions and one text with the versions of the entries, run-length encoded. Nothing is appended if no entry has a version. The names begin after the last that an entry refers to, so a service with the marker's name is no confusion. Malformed versions refuse the message, as a missing name does.

--- a/crates/thornbridge-proto/src/peer/mod.rs
+++ b/crates/thornbridge-proto/src/peer/mod.rs
@@ -5,6 +5,7 @@
 pub mod health;
 pub mod membership;
 mod packed_registry;
+mod packed_versions;
 pub mod quarantine;
 pub mod rollout;
 pub mod slice;
--- a/crates/thornbridge-proto/src/peer/tests.rs
+++ b/crates/thornbridge-proto/src/peer/tests.rs
@@ -1,3 +1,5 @@
+mod versions;
+
 use super::health::{BackEndKey, HealthBatch, HealthChange, HealthFact, PackedFact};
 use super::membership::{MemberBatch, MemberRecord, MemberState};
 use super::quarantine::{CrashRecord, QuarantineMessage};
