--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -19,6 +19,7 @@
 mod retries;
 mod routing;
 mod scarcity;
+mod server_versions;
 mod slice_support;
 mod slices;
 mod slowdown;
--- a/crates/thornbridge-core/src/gateway/view_updates.rs
+++ b/crates/thornbridge-core/src/gateway/view_updates.rs
@@ -11,8 +11,8 @@
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
 use std::time::Duration;
-use thornbridge_proto::BackEndId;
-use thornbridge_proto::peer::view::{StoreRevision, ViewDigest};
+use thornbridge_proto::peer::view::{Instance, StoreRevision, ViewDigest};
+use thornbridge_proto::{BackEndId, ServerVersion};
 
 /// Time after the start in which a node that joins through seeds does not read the store.
 const JOIN_GRACE_PERIOD: Duration = Duration::from_millis(700);
@@ -119,6 +119,7 @@
         let Some(update) = update else {
             return;
         };
+        let update = update.map_objects(|object| self.without_unused_version(object));
         let before = self.digest();
         let changed = match update {
             SourceUpdate::List(objects, at) => self.apply_list(kind, objects, at),
@@ -129,6 +130,24 @@
         }
     }
 
+    /// Removes the version of an instance where versions have no meaning, so that peers, which may be
+    /// earlier builds, receive the same entries as before.
+    fn without_unused_version(&self, object: ViewObject) -> ViewObject {
+        match object {
+            ViewObject::Instance(revision, instance) if !self.parameters.rollouts.enabled => {
+                let version = ServerVersion::default();
+                ViewObject::Instance(
+                    revision,
+                    Instance {
+                        version,
+                        ..instance
+                    },
+                )
+            }
+            object => object,
+        }
+    }
+
     /// Applies a complete list; returns whether the view changed.
     pub(super) fn apply_list(
         &mut self,
--- a/crates/thornbridge-core/src/gateway/views/source.rs
+++ b/crates/thornbridge-core/src/gateway/views/source.rs
@@ -51,6 +51,16 @@
     Changes(Vec<ViewObject>, StoreRevision),
 }
 
+impl SourceUpdate {
+    /// Returns the update with each object replaced.
+    pub(in crate::gateway) fn map_objects(self, map: impl FnMut(ViewObject) -> ViewObject) -> Self {
+        match self {
+            Self::List(objects, at) => Self::List(objects.into_iter().map(map).collect(), at),
+            Self::Changes(objects, at) => Self::Changes(objects.into_iter().map(map).collect(), at),
+        }
+    }
+}
+
 /// The reader of one view.
 #[derive(Debug)]
 pub(in crate::gateway) struct SourceReader {
