Fourth figure of a server's load is decoded

Servers that share machines add how long work takes now, in percent of the usual. It is kept with the reported load and used by no decision. Headers of three figures are read as before, and a fourth figure that is no number leaves the others.

--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -41,6 +41,8 @@
     pub waiting: u32,
     /// Maximum number of concurrent requests.
     pub slots: u32,
+    /// How long work takes on the server's machine now, where 100 is usual; `None` if not reported.
+    pub work_time_percent: Option<u32>,
 }
 
 /// Classification of a reply by its headers.
--- a/crates/thornbridge-node/src/gateway/headers.rs
+++ b/crates/thornbridge-node/src/gateway/headers.rs
@@ -16,7 +16,8 @@
     pub expected_instance: HeaderName,
     /// Signature of a server over its answer.
     pub signature: HeaderName,
-    /// Load of a server: running requests, waiting requests and slots, separated by commas.
+    /// Load of a server: running requests, waiting requests, slots and, from some servers, the time that
+    /// work takes in percent of the usual, separated by commas.
     pub load: HeaderName,
     /// Present if the server did not run the request.
     pub not_run: HeaderName,
--- a/crates/thornbridge-node/src/gateway/server_reply.rs
+++ b/crates/thornbridge-node/src/gateway/server_reply.rs
@@ -9,6 +9,9 @@
 use std::time::Duration;
 use thornbridge_core::gateway::{ExchangeFailure, ReplyVerdict, ServerLoad, ServerReply};
 
+#[cfg(test)]
+mod tests;
+
 /// Maximum size of a server's response body.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
@@ -81,5 +84,6 @@
         running: numbers.next()??,
         waiting: numbers.next()??,
         slots: numbers.next()??,
+        work_time_percent: numbers.next().flatten(),
     })
 }
