State of a roll-out is written to the store under the revision that was read

Ruled out: writing on the connections of the views (a watch holds its connection for its wait, and an unanswered write makes a connection useless); sending a write whose revision is of an ended era (a restored store gives its revisions out again, so the condition could hold for another change).

StoreClient performs reads and writes and returns results, StoreCalls runs them on tasks and sends the events.

--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -249,6 +249,20 @@
     Missing,
 }
 
+impl StateWriteReply {
+    /// Returns the reply with its revisions assigned to `era`.
+    pub fn in_era(self, era: u64) -> Self {
+        match self {
+            Self::Written(revision) => Self::Written(revision.in_era(era)),
+            Self::Conflict(order) => Self::Conflict(order.map(|order| RolloutOrder {
+                revision: order.revision.in_era(era),
+                ..order
+            })),
+            Self::Missing => Self::Missing,
+        }
+    }
+}
+
 /// Input of [`Gateway::handle`](super::Gateway::handle).
 #[derive(Clone, Debug, PartialEq)]
 pub enum GatewayEvent {
--- a/crates/thornbridge-core/src/gateway/views/era.rs
+++ b/crates/thornbridge-core/src/gateway/views/era.rs
@@ -38,6 +38,11 @@
 }
 
 impl EraTracker {
+    /// Whether an era after `era` has begun.
+    pub fn is_past(&self, era: u64) -> bool {
+        self.current.is_some_and(|current| current > era)
+    }
+
     /// Returns the era to assign to an answer, and whether its reported era was acceptable.
     ///
     /// An answer with a missing, unreadable or implausible era is assigned to the current era.
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -6,7 +6,8 @@
 use super::log_lines;
 use super::metrics::{GatewayMetrics, GaugeValues};
 use super::pending::PendingRequest;
-use super::store::StoreClient;
+use super::store::StateWrite;
+use super::store_calls::StoreCalls;
 use crate::clock::{Clock, PauseDetector};
 use crate::input::{Input, InputReceiver};
 use crate::peers::Peers;
@@ -82,7 +83,7 @@
     pub(super) gateway: Gateway,
     pub(super) clock: Clock,
     pub(super) names: Arc<HeaderNames>,
-    pub(super) store: StoreClient,
+    pub(super) store: StoreCalls,
     pub(super) peers: Peers,
     pub(super) inputs: mpsc::Sender<GatewayInput>,
     pub(super) outputs: DriverOutputs,
@@ -104,7 +105,7 @@
     pub(super) fn new(
         gateway: Gateway,
         names: Arc<HeaderNames>,
-        store: StoreClient,
+        store: StoreCalls,
         peers: Peers,
         inputs: mpsc::Sender<GatewayInput>,
         outputs: DriverOutputs,
@@ -317,10 +318,24 @@
                 read,
                 what,
                 timeout,
-            } => self.store.start(kind, read, what, timeout),
+            } => self.store.read(kind, read, what, timeout),
             GatewayAction::SendPeer { to, message } => self.send_peer(to, &message),
-            // No store protocol writes states yet.
-            GatewayAction::WriteState { .. } => {}
+            GatewayAction::WriteState {
+                service,
+                write,
+                based_on,
+                target,
+                state,
+                timeout,
+            } => {
+                let state_write = StateWrite {
+                    service,
+                    based_on,
+                    target,
+                    state,
+                };
+                self.store.write(write, state_write, timeout);
+            }
             GatewayAction::SetReady { ready } => {
                 log::info!(ready; "readiness changed");
                 self.outputs.ready.send_replace(ready);
--- a/crates/thornbridge-node/src/gateway/mod.rs
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -20,8 +20,9 @@
 mod server_reply;
 mod settings;
 mod store;
+mod store_calls;
 
 pub use headers::HeaderNames;
 pub use process::{GatewayError, GatewayListeners, RunningGateway, run_gateway};
 pub use settings::{GatewaySettings, ReadSettings};
-pub use store::StoreProtocol;
+pub use store::{StateWrite, StoreClient, StoreProtocol};
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -8,6 +8,7 @@
 use super::pages::{self, Page};
 use super::settings::{GatewaySettings, ReadSettings};
 use super::store::{StoreClient, StoreProtocol};
+use super::store_calls::StoreCalls;
 use crate::input;
 use crate::peers::{PeerParameters, Peers};
 use hyper::StatusCode;
@@ -264,7 +265,7 @@
             metrics: Arc::clone(&metrics),
             answer_delays,
         };
-        let store = StoreClient::new(store, inputs.clone());
+        let store = StoreCalls::new(StoreClient::new(store), inputs.clone());
         let driver = GatewayDriver::new(
             gateway,
             names,
--- a/crates/thornbridge-node/src/gateway/store.rs
+++ b/crates/thornbridge-node/src/gateway/store.rs
@@ -1,6 +1,5 @@
-//! Client of the platform's store. Keeps one idle connection for each view.
+//! Client of the platform's store. Keeps one idle connection for each view, and one for writes.
 
-use super::driver::GatewayInput;
 use crate::sockets;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -8,18 +7,34 @@
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use thornbridge_core::gateway::{
-    EraTracker, GatewayEvent, ReportedEra, SourceFailure, SourceRead, SourceReply, ViewKind,
+    EraTracker, ReportedEra, SourceFailure, SourceRead, SourceReply, StateWriteReply, ViewKind,
 };
+use thornbridge_proto::peer::rollout::RolloutState;
+use thornbridge_proto::peer::view::StoreRevision;
+use thornbridge_proto::{ServerVersion, ServiceName};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 
 /// Time for the store to acknowledge sent bytes before the connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Conditional write of a roll-out's state.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StateWrite {
+    /// Service of the roll-out.
+    pub service: ServiceName,
+    /// Revision that the object must still have.
+    pub based_on: StoreRevision,
+    /// Version on trial.
+    pub target: ServerVersion,
+    /// State to write.
+    pub state: RolloutState,
+}
+
 /// HTTP protocol of a platform's store.
 pub trait StoreProtocol: Send + Sync + 'static {
     /// Address of the store.
@@ -36,55 +51,121 @@
         status: StatusCode,
         body: &[u8],
     ) -> Result<SourceReply, SourceFailure>;
+    /// Builds the request for a write.
+    fn write_request(&self, write: &StateWrite) -> Request<Full<Bytes>>;
+    /// Parses a response to a write.
+    fn parse_write_reply(
+        &self,
+        status: StatusCode,
+        body: &[u8],
+    ) -> Result<StateWriteReply, SourceFailure>;
+}
+
+/// What a connection is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Purpose {
+    Read(ViewKind),
+    Write,
+}
+
+impl Purpose {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Read(kind) => kind.as_str(),
+            Self::Write => "rollout states",
+        }
+    }
+}
+
+/// Complete response of the store.
+struct StoreResponse {
+    status: StatusCode,
+    body: Bytes,
+    era: u64,
 }
 
-type IdleConnections = Arc<Mutex<BTreeMap<ViewKind, SendRequest<Full<Bytes>>>>>;
+type IdleConnections = Arc<Mutex<BTreeMap<Purpose, SendRequest<Full<Bytes>>>>>;
 
 /// Client of the store. Clones share connections and era.
 #[derive(Clone)]
-pub(super) struct StoreClient {
+pub struct StoreClient {
     protocol: Arc<dyn StoreProtocol>,
     idle: IdleConnections,
     era: Arc<Mutex<EraTracker>>,
-    inputs: mpsc::Sender<GatewayInput>,
+}
+
+impl fmt::Debug for StoreClient {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("StoreClient")
+            .field("address", &self.protocol.address())
+            .finish_non_exhaustive()
+    }
 }
 
 impl StoreClient {
-    pub(super) fn new(
-        protocol: Arc<dyn StoreProtocol>,
-        inputs: mpsc::Sender<GatewayInput>,
-    ) -> Self {
+    /// A client without connections.
+    pub fn new(protocol: Arc<dyn StoreProtocol>) -> Self {
         Self {
             protocol,
             idle: IdleConnections::default(),
             era: Arc::default(),
-            inputs,
         }
     }
 
-    /// Starts a read; its result is sent to the driver as [`GatewayEvent::SourceReplied`].
-    pub(super) fn start(&self, kind: ViewKind, read: u64, query: SourceRead, timeout: Duration) {
-        let client = self.clone();
-        tokio::spawn(async move {
-            let call = client.call(kind, &query);
-            let result = match tokio::time::timeout(timeout, call).await {
-                Ok(result) => result,
-                Err(_) => Err(SourceFailure::Unreachable),
-            };
-            let event = GatewayEvent::SourceReplied { kind, read, result };
-            let _ = client
-                .inputs
-                .send(GatewayInput::Event(Box::new(event)))
-                .await;
-        });
+    /// Performs a read.
+    pub async fn read(
+        &self,
+        kind: ViewKind,
+        query: &SourceRead,
+        timeout: Duration,
+    ) -> Result<SourceReply, SourceFailure> {
+        let call = self.call_read(kind, query);
+        let finished = tokio::time::timeout(timeout, call).await;
+        finished.unwrap_or(Err(SourceFailure::Unreachable))
     }
 
-    async fn call(&self, kind: ViewKind, query: &SourceRead) -> Result<SourceReply, SourceFailure> {
-        let mut sender = match self.take_idle(kind) {
+    /// Performs a write. After a failure other than `Refused`, it may still be done.
+    pub async fn write_state(
+        &self,
+        write: &StateWrite,
+        timeout: Duration,
+    ) -> Result<StateWriteReply, SourceFailure> {
+        let call = self.call_write(write);
+        let finished = tokio::time::timeout(timeout, call).await;
+        finished.unwrap_or(Err(SourceFailure::Unreachable))
+    }
+
+    async fn call_read(
+        &self,
+        kind: ViewKind,
+        query: &SourceRead,
+    ) -> Result<SourceReply, SourceFailure> {
+        let request = self.protocol.request(kind, query);
+        let response = self.exchange(Purpose::Read(kind), request).await?;
+        let StoreResponse { status, body, era } = response;
+        let reply = self.protocol.parse_reply(kind, query, status, &body)?;
+        Ok(reply.in_era(era))
+    }
+
+    async fn call_write(&self, write: &StateWrite) -> Result<StateWriteReply, SourceFailure> {
+        self.ensure_same_era(write.based_on)?;
+        let request = self.protocol.write_request(write);
+        let response = self.exchange(Purpose::Write, request).await?;
+        let StoreResponse { status, body, era } = response;
+        let reply = self.protocol.parse_write_reply(status, &body)?;
+        Ok(reply.in_era(era))
+    }
+
+    async fn exchange(
+        &self,
+        purpose: Purpose,
+        request: Request<Full<Bytes>>,
+    ) -> Result<StoreResponse, SourceFailure> {
+        let mut sender = match self.take_idle(purpose) {
             Some(sender) => sender,
             None => self.connect().await?,
         };
-        let request = self.protocol.request(kind, query);
         let response = sender.send_request(request).await;
         let response = response.map_err(|_| SourceFailure::Unreachable)?;
         let status = response.status();
@@ -92,20 +173,28 @@
         let body = response.into_body().collect().await;
         let body = body.map_err(|_| SourceFailure::Unreachable)?.to_bytes();
         // Keep the connection only after a complete response: after a timeout, it may be dead.
-        self.put_idle(kind, sender);
-        let era = self.observe_era(kind, &reported)?;
-        let reply = self.protocol.parse_reply(kind, query, status, &body)?;
-        Ok(reply.in_era(era))
+        self.put_idle(purpose, sender);
+        let era = self.observe_era(purpose, &reported)?;
+        Ok(StoreResponse { status, body, era })
+    }
+
+    /// Fails for a revision of an ended era: another change of the object may have it now.
+    fn ensure_same_era(&self, revision: StoreRevision) -> Result<(), SourceFailure> {
+        let tracker = self.era.lock().unwrap_or_else(PoisonError::into_inner);
+        match tracker.is_past(revision.era) {
+            true => Err(SourceFailure::StaleEra),
+            false => Ok(()),
+        }
     }
 
     /// Returns the era that a response belongs to; fails for one older than the current era.
-    fn observe_era(&self, kind: ViewKind, reported: &ReportedEra) -> Result<u64, SourceFailure> {
+    fn observe_era(&self, purpose: Purpose, reported: &ReportedEra) -> Result<u64, SourceFailure> {
         let mut tracker = self.era.lock().unwrap_or_else(PoisonError::into_inner);
         match tracker.observe(reported) {
             Ok((era, believed)) => {
                 if !believed {
                     log::warn!(
-                        view = kind.as_str(),
+                        view = purpose.as_str(),
                         told:? = reported,
                         era = era;
                         "store era ignored"
@@ -114,7 +203,7 @@
                 Ok(era)
             }
             Err(stale) => {
-                log::warn!(view = kind.as_str(), error:% = stale; "store answer dropped");
+                log::warn!(view = purpose.as_str(), error:% = stale; "store answer dropped");
                 Err(SourceFailure::StaleEra)
             }
         }
@@ -133,13 +222,13 @@
         Ok(sender)
     }
 
-    fn take_idle(&self, kind: ViewKind) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, purpose: Purpose) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&kind).filter(|sender| !sender.is_closed())
+        idle.remove(&purpose).filter(|sender| !sender.is_closed())
     }
 
-    fn put_idle(&self, kind: ViewKind, sender: SendRequest<Full<Bytes>>) {
+    fn put_idle(&self, purpose: Purpose, sender: SendRequest<Full<Bytes>>) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.insert(kind, sender);
+        idle.insert(purpose, sender);
     }
 }
