A version that an earlier build left out of an entry is added

Cause: an entry learnt from an earlier build has no version, and the registry ignores the same revision when a list or a peer of this build brings it: the version would stay unknown until the entry changes.

Change: at the same revision, a version replaces an unknown one; never the other way.

Not covered: a node whose reader watches, and that nobody sends a whole list, keeps the entry without a version.

--- a/crates/thornbridge-core/src/gateway/views/registry.rs
+++ b/crates/thornbridge-core/src/gateway/views/registry.rs
@@ -6,8 +6,8 @@
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
-use thornbridge_proto::BackEndId;
 use thornbridge_proto::peer::view::{Instance, InstanceState, RegistryDelta, StoreRevision};
+use thornbridge_proto::{BackEndId, ServerVersion};
 
 /// Change applied to the registry.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,7 +77,7 @@
         let known = self.entries.get(&id).map(|(revision, _)| *revision);
         let removed = self.tombstones.get(&id).map(|tombstone| tombstone.revision);
         if known >= Some(revision) || removed >= Some(revision) {
-            return None;
+            return self.add_version(revision, instance);
         }
         self.tombstones.remove(&id);
         match instance.state {
@@ -88,6 +88,21 @@
         Some(RegistryChange::Upserted(revision, instance))
     }
 
+    /// Adds the version to the same entry of an earlier build, which leaves versions out.
+    fn add_version(
+        &mut self,
+        revision: StoreRevision,
+        instance: Instance,
+    ) -> Option<RegistryChange> {
+        let (known, entry) = self.entries.get_mut(&instance.id)?;
+        let unknown = ServerVersion::default();
+        if *known != revision || entry.version != unknown || instance.version == unknown {
+            return None;
+        }
+        entry.version = instance.version;
+        Some(RegistryChange::Upserted(revision, entry.clone()))
+    }
+
     /// Removes an entry. `observed_at`: revision of the store at which the removal was observed.
     pub(in crate::gateway) fn remove(
         &mut self,
