--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -41,6 +41,8 @@
     pub waiting: u32,
     /// Maximum number of concurrent requests.
     pub slots: u32,
+    /// How long work takes on the server's machine now, where 100 is usual; `None` if not reported.
+    pub work_time_percent: Option<u32>,
 }
 
 /// Classification of a reply by its headers.
@@ -247,6 +249,20 @@
     Missing,
 }
 
+impl StateWriteReply {
+    /// Returns the reply with its revisions assigned to `era`.
+    pub fn in_era(self, era: u64) -> Self {
+        match self {
+            Self::Written(revision) => Self::Written(revision.in_era(era)),
+            Self::Conflict(order) => Self::Conflict(order.map(|order| RolloutOrder {
+                revision: order.revision.in_era(era),
+                ..order
+            })),
+            Self::Missing => Self::Missing,
+        }
+    }
+}
+
 /// Input of [`Gateway::handle`](super::Gateway::handle).
 #[derive(Clone, Debug, PartialEq)]
 pub enum GatewayEvent {
