Servers of a version on trial get requests only with permits

Nothing told servers of different versions apart: each got requests as soon as it was registered. Servers now have the role of their version; parts take a permit for their first attempt, requests and outcomes of both versions are counted. Nothing sets roles or begins trials yet, and by default every version serves.

--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -3,6 +3,7 @@
 use super::dispatching::remove_in_flight;
 use super::part::PartState;
 use super::request::Request;
+use super::trials::{record_outcome, restore_permit, return_permit};
 use super::{AttemptTarget, Context, Exchanges};
 use crate::driver_action::{CallerId, ConnectionId};
 use crate::gateway::action::GatewayAction;
@@ -33,6 +34,8 @@
     pub(super) cancel_at: Option<Timestamp>,
     /// Request to suspect if the server crashes; `None` once any server answered it.
     pub(super) suspect: Option<Fingerprint>,
+    /// Whether the attempt used a permit for a version on trial.
+    pub(super) had_permit: bool,
 }
 
 impl Exchanges {
@@ -50,6 +53,7 @@
         if let (AttemptOutcome::Answered, Some(fingerprint)) = (outcome, record.suspect) {
             context.quarantine.record_answer(context.now, fingerprint);
         }
+        record_outcome(context, &record, outcome);
         self.observe_reply(context, &record, &reply, outcome);
         let AttemptTarget { server, connection } = record.target;
         if reply.reusable {
@@ -80,6 +84,10 @@
             ExchangeFailure::NotSent => AttemptOutcome::NotRun,
             ExchangeFailure::MayHaveRun => AttemptOutcome::Broken,
         };
+        match failure {
+            ExchangeFailure::NotSent => restore_permit(context, &record),
+            ExchangeFailure::MayHaveRun => record_outcome(context, &record, outcome),
+        }
         if failure == ExchangeFailure::MayHaveRun {
             let cost = context.servers.parameters.failure_cost;
             self.add_failure_cost(context, server, cost, "broken");
@@ -156,6 +164,7 @@
             return;
         };
         let AttemptTarget { server, connection } = record.target;
+        record_outcome(context, &record, AttemptOutcome::Open);
         context.servers.close(context.actions, connection);
         self.add_failure_cost(
             context,
@@ -171,11 +180,13 @@
     pub(super) fn abandon_attempts(
         &mut self,
         context: &mut Context<'_>,
-        request: &Request,
+        request: &mut Request,
         cancel_at: Timestamp,
     ) {
         let suspect = (!request.has_answer()).then_some(request.fingerprint);
-        for (index, part) in request.parts.iter().enumerate() {
+        for index in 0..request.parts.len() {
+            return_permit(context, request, index);
+            let part = &request.parts[index];
             if let PartState::Queued(server, _) = part.state {
                 context.servers.remove_queued(server, request.caller, index);
             }
@@ -300,6 +311,10 @@
                 if let Some(mean_work) = mean_work {
                     server.observe_slowdown(&parameters, now, work, mean_work);
                 }
+                if server.is_on_trial() {
+                    // The usual work is that of the version that serves.
+                    return;
+                }
                 let normalized = work.div_f64(slowdown.max(0.1));
                 let statistics = context.routes.statistics(record.route);
                 statistics.work.observe(&parameters, normalized);
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -3,6 +3,7 @@
 use super::attempts::Attempt;
 use super::part::PartState;
 use super::request::Request;
+use super::trials::{may_be_sent_to, record_request, return_permit};
 use super::{AttemptTarget, Context, Exchanges, is_repeatable};
 use crate::gateway::action::GatewayAction;
 use crate::gateway::servers::{AcquireOutcome, Choice, QueuedPart, ServerKey};
@@ -48,6 +49,10 @@
         index: usize,
         cause: AttemptCause,
     ) {
+        if let Some(server) = self.choose_trial(context, request, index, cause) {
+            self.queue_or_send(context, request, index, server, cause);
+            return;
+        }
         let look_interval = self.parameters.look_interval;
         let Some(choice) = self.choose(context, request, index) else {
             let settling = context.now.since_epoch() < self.parameters.settling;
@@ -169,7 +174,9 @@
             cause,
             cancel_at: None,
             suspect: Some(request.fingerprint),
+            had_permit: request.parts[index].has_permit,
         };
+        record_request(context, request, index, cause);
         self.attempts.insert(attempt, record);
         let hedge_at = context.now + self.hedge_delay(context, request, target.server);
         let may_hedge = is_repeatable(&request.route);
@@ -218,6 +225,7 @@
             .remove_queued(queued_at, request.caller, index);
         let part = &mut request.parts[index];
         part.state = PartState::NeedsAttempt(cause);
+        return_permit(context, request, index);
         self.queue_or_send(context, request, index, other.server, cause);
     }
 
@@ -271,7 +279,7 @@
             let Some(server) = context.servers.get(key) else {
                 return;
             };
-            let accepts_requests = server.takes_requests();
+            let accepts_requests = server.takes_queued();
             if accepts_requests && server.idle.is_empty() {
                 return;
             }
@@ -325,6 +333,7 @@
         // Charged again if the charge lapsed in the queue; before a connection is taken, so that a denied
         // part leaves it to others.
         if server_accepts
+            && may_be_sent_to(context, &request.parts[index], server)
             && Self::may_send_now(context, request)
             && self.charge_budget(context, request, index)
             && let AcquireOutcome::Idle(connection) =
@@ -335,6 +344,7 @@
             let target = AttemptTarget { server, connection };
             self.send(context, request, index, target, cause);
         }
+        return_permit(context, request, index);
     }
 
     /// Moves the parts queued for a server that is leaving or unreachable to other servers.
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -24,6 +24,7 @@
 mod slice_owner;
 #[cfg(test)]
 mod tests;
+mod trials;
 
 use super::action::{GatewayAction, GatewayAnswer, RefusalReason};
 
@@ -32,6 +33,7 @@
 use super::event::RequestHead;
 use super::parameters::ExchangeParameters;
 use super::quarantine::{Quarantine, SendPolicy};
+use super::rollouts::trials::Trials;
 use super::routes::{ResolvedRoute, ResolvedTarget, RouteTable};
 use super::servers::{ServerKey, Servers};
 use super::slices::Slices;
@@ -66,6 +68,7 @@
     pub(super) budget: &'a mut ExtraAttemptBudget,
     pub(super) slices: &'a mut Slices,
     pub(super) quarantine: &'a mut Quarantine,
+    pub(super) trials: &'a mut Trials,
     /// Peer address of this node.
     pub(super) own_address: SocketAddr,
     /// Whether requests and peer messages may be older than they state.
@@ -261,7 +264,7 @@
         let outcome = answering::outcome(&answer);
         let retry_after = answering::retry_after(&answer);
         let cancel_at = request.deadline.max(context.now) + self.parameters.gone_grace;
-        self.abandon_attempts(context, &request, cancel_at);
+        self.abandon_attempts(context, &mut request, cancel_at);
         // Answer before logging: only the answer is urgent.
         let caller = request.caller;
         context
@@ -281,9 +284,9 @@
         caller: CallerId,
         cancel_at: Timestamp,
     ) -> Option<Request> {
-        let request = self.requests.remove(&caller)?;
+        let mut request = self.requests.remove(&caller)?;
         self.schedule.remove(&(request.check_at, caller));
-        self.abandon_attempts(context, &request, cancel_at);
+        self.abandon_attempts(context, &mut request, cancel_at);
         Some(request)
     }
 
--- a/crates/thornbridge-core/src/gateway/exchange/part.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/part.rs
@@ -64,6 +64,8 @@
     owner_failure: Option<ShardFailure>,
     /// Whether the coordinator knows the part's result.
     pub(super) reported: bool,
+    /// Whether the part has an unused permit for a version on trial.
+    pub(super) has_permit: bool,
 }
 
 impl Part {
@@ -85,6 +87,7 @@
             prior_attempts: 0,
             owner_failure: None,
             reported: false,
+            has_permit: false,
         }
     }
 
@@ -123,6 +126,11 @@
         }
     }
 
+    /// Whether no node sent an attempt of the part before the next one.
+    pub(super) fn is_first_attempt(&self, cause: AttemptCause) -> bool {
+        cause == AttemptCause::First && self.sent == 0 && self.prior_attempts == 0
+    }
+
     /// Adds an extra attempt paid for by the coordinator.
     pub(super) fn lend(&mut self, now: Timestamp) {
         self.lent += 1;
@@ -147,6 +155,7 @@
         self.tried.push(server);
         self.sent += 1;
         self.charged_until = None;
+        self.has_permit = false;
     }
 
     /// Uses a lent attempt, charged by its lender, for the next attempt; `false` if there is none.
--- a/crates/thornbridge-core/src/gateway/exchange/slice_owner.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/slice_owner.rs
@@ -293,9 +293,9 @@
     }
 
     /// Removes a finished slice.
-    pub(super) fn finish_served_slice(&mut self, context: &mut Context<'_>, request: Request) {
+    pub(super) fn finish_served_slice(&mut self, context: &mut Context<'_>, mut request: Request) {
         let cancel_at = request.deadline.max(context.now) + self.parameters.gone_grace;
-        self.abandon_attempts(context, &request, cancel_at);
+        self.abandon_attempts(context, &mut request, cancel_at);
         self.release_served_slice(context, &request);
         let progress = request.progress();
         let outcome = match progress.answered == progress.total {
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/exchange/trials.rs
@@ -0,0 +1,125 @@
+//! Requests and attempts of services that have a version on trial.
+//!
+//! A permit sends the first attempt of a part to the version on trial. Any other attempt, a retry or a
+//! hedge, goes to the version that serves. The permit of a part that leaves the queue of such a server
+//! unsent is returned. Outcomes at both versions are counted by the same yardstick.
+
+use super::attempts::Attempt;
+use super::part::Part;
+use super::request::Request;
+use super::{Context, Exchanges};
+use crate::gateway::rollouts::trials::Arm;
+use crate::gateway::routes::RouteKey;
+use crate::gateway::servers::{Server, ServerKey, VersionRole};
+use crate::gateway::telemetry::{AttemptCause, AttemptOutcome};
+use std::time::Duration;
+
+/// Multiple of a route's usual work from which an answer counts as bad.
+const SLOW_FACTOR: u32 = 3;
+/// Quantile of a route's work that counts as usual.
+const USUAL_QUANTILE: f64 = 0.5;
+
+impl Exchanges {
+    /// Server of a version on trial for the first attempt of a part, if there is a permit.
+    pub(super) fn choose_trial(
+        &self,
+        context: &mut Context<'_>,
+        request: &mut Request,
+        index: usize,
+        cause: AttemptCause,
+    ) -> Option<ServerKey> {
+        let part = &request.parts[index];
+        if !part.is_first_attempt(cause) {
+            return None;
+        }
+        let service = part.service;
+        let route = &request.route.route.name;
+        let instance = context.trials.take_permit(context.now, service, route)?;
+        request.parts[index].has_permit = true;
+        let work = self.mean_work(context, request);
+        let server = context
+            .servers
+            .choose_trial(context.now, service, work, instance.as_ref());
+        if server.is_none() {
+            return_permit(context, request, index);
+        }
+        server
+    }
+}
+
+/// Returns the unused permit of a part, if it has one.
+pub(super) fn return_permit(context: &mut Context<'_>, request: &mut Request, index: usize) {
+    let part = &mut request.parts[index];
+    if std::mem::take(&mut part.has_permit) {
+        let route = &request.route.route.name;
+        context.trials.return_permit(part.service, route);
+    }
+}
+
+/// Returns the permit of an attempt that was not sent, if it had one.
+pub(super) fn restore_permit(context: &mut Context<'_>, record: &Attempt) {
+    if !record.had_permit {
+        return;
+    }
+    if let Some(server) = context.servers.get(record.target.server) {
+        let route = context.routes.name_of(record.route);
+        context.trials.return_permit(server.service, route);
+    }
+}
+
+/// Whether a server may get a part: one on trial only gets parts with a permit.
+pub(super) fn may_be_sent_to(context: &Context<'_>, part: &Part, server: ServerKey) -> bool {
+    let server = context.servers.get(server);
+    part.has_permit || server.is_some_and(Server::takes_requests)
+}
+
+/// Counts a request to its service when the first attempt is sent.
+pub(super) fn record_request(
+    context: &mut Context<'_>,
+    request: &Request,
+    index: usize,
+    cause: AttemptCause,
+) {
+    let part = &request.parts[index];
+    if part.is_first_attempt(cause) {
+        let route = &request.route.route.name;
+        context.trials.record_request(part.service, route);
+    }
+}
+
+/// Counts the outcome of an attempt at a service that has a version on trial.
+pub(super) fn record_outcome(context: &mut Context<'_>, record: &Attempt, outcome: AttemptOutcome) {
+    let Some(server) = context.servers.get(record.target.server) else {
+        return;
+    };
+    let service = server.service;
+    if !context.trials.has_begun(service) {
+        return;
+    }
+    let arm = match server.role {
+        VersionRole::Trial => Arm::Trial,
+        VersionRole::Serving => Arm::Stable,
+        VersionRole::Held | VersionRole::Rejected => return,
+    };
+    let round_trip = server.round_trip();
+    let took = context.now.since(record.sent_at);
+    let limit = usual_work(context, record.route).map(|work| round_trip + work * SLOW_FACTOR);
+    let is_slow = limit.is_some_and(|limit| took > limit);
+    let good = match outcome {
+        AttemptOutcome::Answered => !is_slow,
+        AttemptOutcome::ServerFailure
+        | AttemptOutcome::Invalid
+        | AttemptOutcome::Broken
+        | AttemptOutcome::NotRun => false,
+        AttemptOutcome::Open if is_slow => false,
+        AttemptOutcome::Open | AttemptOutcome::WrongInstance | AttemptOutcome::Waiting => return,
+    };
+    let route = context.routes.name_of(record.route);
+    context.trials.record_outcome(service, route, arm, good);
+}
+
+/// Usual work of a route at the version that serves, once there is an observation.
+fn usual_work(context: &mut Context<'_>, route: RouteKey) -> Option<Duration> {
+    let work = &context.routes.statistics(route).work;
+    work.quantile(USUAL_QUANTILE).or_else(|| work.mean())
+}
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -119,6 +119,7 @@
             budget: &mut self.budget,
             slices: &mut self.slices,
             quarantine: &mut self.quarantine,
+            trials: &mut self.trials,
             own_address: self.own_address,
             messages_may_be_stale: self.now < self.messages_stale_until,
             registry: self.registry.revision().unwrap_or_default(),
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -39,6 +39,8 @@
 mod telemetry;
 #[cfg(test)]
 mod tests;
+#[allow(dead_code)]
+mod version_roles;
 mod view_updates;
 mod views;
 mod window;
@@ -72,6 +74,7 @@
 use quarantine::Quarantine;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rollouts::trials::Trials;
 use routes::RouteTable;
 use servers::Servers;
 use slices::Slices;
@@ -130,6 +133,7 @@
     budget: ExtraAttemptBudget,
     exchanges: Exchanges,
     quarantine: Quarantine,
+    trials: Trials,
     slices: Slices,
     own_address: SocketAddr,
     /// Whether members, shards or servers changed since slices were last assigned.
@@ -202,6 +206,7 @@
             budget: ExtraAttemptBudget::new(parameters.budget.clone(), has_other_seeds, setup.seed),
             exchanges: Exchanges::new(parameters.exchange.clone()),
             quarantine: Quarantine::new(parameters.quarantine.clone()),
+            trials: Trials::default(),
             pending: PendingRequests::default(),
             freshness: Freshness::new(parameters.views.staleness_limit),
             reads: true,
--- a/crates/thornbridge-core/src/gateway/rollouts/trials.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/trials.rs
@@ -1,11 +1,15 @@
 //! Trials at this node: permits for servers of a version on trial, and what this node saw of both
 //! versions.
+//!
+//! Each permit is used once, or reported as returned once: when its validity ends, or when its request
+//! is not sent to the version on trial after all.
 
 use crate::gateway::budget::ServiceKey;
 use crate::time::Timestamp;
+use std::collections::BTreeMap;
 use std::time::Duration;
 use thornbridge_proto::BackEndId;
-use thornbridge_proto::peer::rollout::RouteReport;
+use thornbridge_proto::peer::rollout::{Outcomes, RouteReport};
 
 /// Version that served an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -16,62 +20,186 @@
     Stable,
 }
 
+/// Permits of one grant for one route.
+#[derive(Clone, Debug)]
+struct Grant {
+    unused: u32,
+    valid_until: Timestamp,
+    instance: Option<BackEndId>,
+}
+
+/// Permits and counts of one route.
+#[derive(Clone, Debug, Default)]
+struct RouteTrial {
+    grants: Vec<Grant>,
+    /// Permits that were used, and not returned since.
+    used: u32,
+    /// First attempts that are not reported yet.
+    requests: u32,
+    /// Returned and lapsed permits that are not reported yet.
+    returned: u32,
+    trial: Outcomes,
+    stable: Outcomes,
+    /// Whether the outcomes changed since the last report.
+    outcomes_changed: bool,
+}
+
+impl RouteTrial {
+    fn drop_lapsed(&mut self, now: Timestamp) {
+        let lapsed = self.grants.iter().filter(|grant| grant.valid_until < now);
+        self.returned += lapsed.map(|grant| grant.unused).sum::<u32>();
+        self.grants
+            .retain(|grant| grant.unused > 0 && grant.valid_until >= now);
+    }
+
+    /// Uses a permit of the grant that lapses first.
+    fn take_permit(&mut self, now: Timestamp) -> Option<Option<BackEndId>> {
+        self.drop_lapsed(now);
+        let grants = self.grants.iter_mut();
+        let grant = grants.min_by_key(|grant| grant.valid_until)?;
+        grant.unused -= 1;
+        self.used += 1;
+        Some(grant.instance.clone())
+    }
+
+    fn has_news(&self) -> bool {
+        self.requests > 0 || self.returned > 0 || self.outcomes_changed
+    }
+
+    fn take_report(&mut self, route: &str) -> RouteReport {
+        self.outcomes_changed = false;
+        RouteReport {
+            route: route.to_owned(),
+            requests: std::mem::take(&mut self.requests),
+            returned: std::mem::take(&mut self.returned),
+            trial: self.trial,
+            stable: self.stable,
+        }
+    }
+}
+
 /// Permits and counts by service and route.
-#[derive(Debug, Default)]
-pub(in crate::gateway) struct Trials {}
+#[derive(Clone, Debug, Default)]
+pub(in crate::gateway) struct Trials {
+    services: BTreeMap<ServiceKey, BTreeMap<String, RouteTrial>>,
+}
 
 impl Trials {
     /// Begins to count for a service; keeps the counts if the trial has begun already.
-    pub(in crate::gateway) fn begin(&mut self, _service: ServiceKey) {}
+    pub(in crate::gateway) fn begin(&mut self, service: ServiceKey) {
+        self.services.entry(service).or_default();
+    }
 
     /// Drops permits and counts of a service.
-    pub(in crate::gateway) fn end(&mut self, _service: ServiceKey) {}
+    pub(in crate::gateway) fn end(&mut self, service: ServiceKey) {
+        self.services.remove(&service);
+    }
+
+    /// Whether a trial of the service has begun.
+    pub(in crate::gateway) fn has_begun(&self, service: ServiceKey) -> bool {
+        self.services.contains_key(&service)
+    }
 
     /// Adds permits. `instance`: server to sample; `None` for any server of the version.
     pub(in crate::gateway) fn grant(
         &mut self,
-        _now: Timestamp,
-        _service: ServiceKey,
-        _by_route: &[(String, u32)],
-        _valid: Duration,
-        _instance: Option<BackEndId>,
+        now: Timestamp,
+        service: ServiceKey,
+        by_route: &[(String, u32)],
+        valid: Duration,
+        instance: Option<BackEndId>,
     ) {
+        for (route, permits) in by_route {
+            if let Some(trial) = self.route_mut(service, route) {
+                trial.grants.push(Grant {
+                    unused: *permits,
+                    valid_until: now + valid,
+                    instance: instance.clone(),
+                });
+            }
+        }
     }
 
     /// Uses a permit for a request; `None` if there is none. The inner value is the server to sample.
     #[must_use]
     pub(in crate::gateway) fn take_permit(
         &mut self,
-        _now: Timestamp,
-        _service: ServiceKey,
-        _route: &str,
+        now: Timestamp,
+        service: ServiceKey,
+        route: &str,
     ) -> Option<Option<BackEndId>> {
-        None
+        let routes = self.services.get_mut(&service)?;
+        routes.get_mut(route)?.take_permit(now)
     }
 
-    /// Returns a permit whose request was not sent to the version on trial.
-    pub(in crate::gateway) fn return_permit(&mut self, _service: ServiceKey, _route: &str) {}
+    /// Returns a permit whose request was not sent to the version on trial. Permits of an earlier
+    /// trial are ignored.
+    pub(in crate::gateway) fn return_permit(&mut self, service: ServiceKey, route: &str) {
+        let routes = self.services.get_mut(&service);
+        let trial = routes.and_then(|routes| routes.get_mut(route));
+        if let Some(trial) = trial.filter(|trial| trial.used > 0) {
+            trial.used -= 1;
+            trial.returned += 1;
+        }
+    }
 
     /// Counts the first attempt of a request, at any version.
-    pub(in crate::gateway) fn record_request(&mut self, _service: ServiceKey, _route: &str) {}
+    pub(in crate::gateway) fn record_request(&mut self, service: ServiceKey, route: &str) {
+        if let Some(trial) = self.route_mut(service, route) {
+            trial.requests += 1;
+        }
+    }
 
     /// Counts the outcome of an attempt.
     pub(in crate::gateway) fn record_outcome(
         &mut self,
-        _service: ServiceKey,
-        _route: &str,
-        _arm: Arm,
-        _good: bool,
+        service: ServiceKey,
+        route: &str,
+        arm: Arm,
+        good: bool,
     ) {
+        let Some(trial) = self.route_mut(service, route) else {
+            return;
+        };
+        let outcomes = match arm {
+            Arm::Trial => &mut trial.trial,
+            Arm::Stable => &mut trial.stable,
+        };
+        match good {
+            true => outcomes.good += 1,
+            false => outcomes.bad += 1,
+        }
+        trial.outcomes_changed = true;
     }
 
     /// Counts to report to the conductor; `None` if there is nothing new. Requests and returned permits
     /// are reported once, whether or not the report arrives.
     pub(in crate::gateway) fn take_report(
         &mut self,
-        _now: Timestamp,
-        _service: ServiceKey,
+        now: Timestamp,
+        service: ServiceKey,
     ) -> Option<Vec<RouteReport>> {
-        None
+        let routes = self.services.get_mut(&service)?;
+        for trial in routes.values_mut() {
+            trial.drop_lapsed(now);
+        }
+        if !routes.values().any(RouteTrial::has_news) {
+            return None;
+        }
+        let reports = routes.iter_mut();
+        Some(
+            reports
+                .map(|(route, trial)| trial.take_report(route))
+                .collect(),
+        )
+    }
+
+    /// State of a route of a service whose trial has begun.
+    fn route_mut(&mut self, service: ServiceKey, route: &str) -> Option<&mut RouteTrial> {
+        let routes = self.services.get_mut(&service)?;
+        if !routes.contains_key(route) {
+            routes.insert(route.to_owned(), RouteTrial::default());
+        }
+        routes.get_mut(route)
     }
 }
--- a/crates/thornbridge-core/src/gateway/routes.rs
+++ b/crates/thornbridge-core/src/gateway/routes.rs
@@ -108,6 +108,12 @@
         self.by_host.values().flatten()
     }
 
+    /// Name of a route; empty if the configuration does not have it.
+    pub(super) fn name_of(&self, key: RouteKey) -> &str {
+        let found = self.all().find(|route| route.key == key);
+        found.map_or("", |route| &route.route.name)
+    }
+
     /// Statistics of a route, created on first use.
     pub(super) fn statistics(&mut self, key: RouteKey) -> &mut RouteStatistics {
         self.statistics.entry(key).or_default()
--- a/crates/thornbridge-core/src/gateway/servers/choosing.rs
+++ b/crates/thornbridge-core/src/gateway/servers/choosing.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
+use thornbridge_proto::BackEndId;
 
 /// Largest relative jitter added to a cost, so that nodes do not all choose the same server.
 const COST_JITTER: f64 = 0.1;
@@ -82,6 +83,29 @@
         best
     }
 
+    /// Selects the server of a version on trial that a permit is for, if it is reachable: `instance`,
+    /// or the cheapest one if that is `None`.
+    pub(in crate::gateway) fn choose_trial(
+        &self,
+        now: Timestamp,
+        service: ServiceKey,
+        work: Duration,
+        instance: Option<&BackEndId>,
+    ) -> Option<ServerKey> {
+        let keys = &self.services[service.0 as usize].servers;
+        let servers = keys
+            .iter()
+            .filter_map(|key| Some((*key, self.servers.get(key)?)));
+        let named = servers.filter(|(_, server)| instance.is_none_or(|id| *id == server.id));
+        let usable =
+            named.filter(|(_, server)| server.takes_trials() && self.is_reachable(now, server));
+        let cheapest = usable.min_by_key(|(_, server)| {
+            let silent = server.is_silent(&self.parameters, now);
+            self.cost(now, server, work, silent)
+        });
+        cheapest.map(|(key, _)| key)
+    }
+
     /// Whether this node has a connection to the server, or may open one now.
     fn is_reachable(&self, now: Timestamp, server: &Server) -> bool {
         server.open + server.opening > 0 || server.reconnect_at <= now
--- a/crates/thornbridge-core/src/gateway/servers/connections.rs
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -164,26 +164,39 @@
         // Scarce connections are opened on demand only.
         let scarce = now.since_epoch() >= SCARCITY_STARTUP_GRACE && self.scarcity.is_scarce(now);
         for service in services.into_iter().filter(|_| !scarce) {
-            for key in self.preconnect_candidates(now, service) {
+            for key in self.preconnect_candidates(now, service, Server::takes_requests) {
+                self.open(now, actions, key);
+            }
+            if !self.services[service.0 as usize].roles.warm_trial {
+                continue;
+            }
+            for key in self.preconnect_candidates(now, service, Server::takes_trials) {
                 self.open(now, actions, key);
             }
         }
         let all: Vec<ServerKey> = self.servers.keys().copied().collect();
         for key in all {
+            self.close_idle_if_leaving(actions, key);
             self.close_expired_idle(now, actions, key);
         }
     }
 
-    /// Servers of a service to connect to ahead of use, at most `servers_ahead` connected in total.
+    /// Servers of a service to connect to ahead of use among those that are `usable`, at most
+    /// `servers_ahead` connected in total.
     ///
     /// Guards against a number of mostly unused connections that grows with nodes times servers.
-    fn preconnect_candidates(&self, now: Timestamp, service: ServiceKey) -> Vec<ServerKey> {
+    fn preconnect_candidates(
+        &self,
+        now: Timestamp,
+        service: ServiceKey,
+        usable: impl Fn(&Server) -> bool,
+    ) -> Vec<ServerKey> {
         let keys = &self.services[service.0 as usize].servers;
         let found = keys
             .iter()
             .filter_map(|key| Some((*key, self.servers.get(key)?)));
         let eligible = found.filter(|(_, server)| {
-            let ready = server.availability == Availability::Ready && server.takes_requests();
+            let ready = server.availability == Availability::Ready && usable(server);
             server.in_subset && ready
         });
         let (connected, unconnected): (Vec<_>, Vec<_>) =
@@ -294,7 +307,8 @@
         }
     }
 
-    /// Closes the idle connections of a server that is displaced, draining or gone.
+    /// Closes the idle connections of a server that is displaced, draining or gone, or whose version
+    /// gets no requests.
     ///
     /// Servers of evacuated zones keep theirs: an evacuation may end within seconds, and
     /// reconnecting would occupy slots.
@@ -306,7 +320,7 @@
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
-        if !server.is_leaving() {
+        if !server.is_unused() {
             return;
         }
         for idle in std::mem::take(&mut server.idle) {
@@ -344,7 +358,10 @@
         now: Timestamp,
         key: ServerKey,
     ) -> Option<QueuedPart> {
-        self.servers.get_mut(&key)?.queue.pop(now)
+        let server = self.servers.get_mut(&key)?;
+        let part = server.queue.pop(now);
+        server.queue_void &= !server.queue.is_empty();
+        part
     }
 
     /// Removes a part from the server's queue.
--- a/crates/thornbridge-core/src/gateway/servers/displacing.rs
+++ b/crates/thornbridge-core/src/gateway/servers/displacing.rs
@@ -102,7 +102,7 @@
             Availability::Vanished { .. } => Availability::Gone,
             Availability::Displaced | Availability::Draining | Availability::Gone => return false,
         };
-        self.subset.invalidate(server.service);
+        let service = server.service;
         actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
             id: server.id.clone(),
             service: server.service_name.to_string(),
@@ -110,6 +110,7 @@
             revision: server.revision,
             origin,
         }));
+        self.servers_changed(service);
         self.close_idle_if_leaving(actions, key);
         self.remove_if_unused(key);
         true
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -71,6 +71,8 @@
     own_connection_limit: u32,
     /// Owners that connect to the servers, if the service belongs to a group of shards.
     ownership: Option<Ownership>,
+    /// What servers of each version get.
+    roles: VersionRoles,
 }
 
 /// All known servers and the connections to them.
@@ -197,11 +199,11 @@
         self.of_service(service).any(Server::takes_requests)
     }
 
-    /// Whether a service has servers that are not leaving, all of them in evacuated zones.
+    /// Whether a service has servers that would get requests, all of them in evacuated zones.
     pub(super) fn is_evacuated(&self, service: ServiceKey) -> bool {
         let mut staying = self
             .of_service(service)
-            .filter(|server| !server.is_leaving())
+            .filter(|server| !server.is_leaving() && server.version_serves())
             .peekable();
         let any = !self.evacuated.is_empty() && staying.peek().is_some();
         any && staying.all(|server| server.evacuated)
@@ -266,9 +268,9 @@
         changed
     }
 
-    /// Servers that take no new requests and still have queued parts.
+    /// Servers with queued parts that they may not get.
     pub(super) fn unavailable_with_queued(&self) -> Vec<ServerKey> {
-        let unavailable = |server: &Server| !server.takes_requests() && !server.queue.is_empty();
+        let unavailable = |server: &Server| server.must_move_queue() && !server.queue.is_empty();
         let servers = self.servers.iter();
         let found = servers.filter(|(_, server)| unavailable(server));
         found.map(|(key, _)| *key).collect()
@@ -293,7 +295,8 @@
         for key in expired {
             if let Some(server) = self.servers.get_mut(&key) {
                 server.availability = Availability::Gone;
-                self.subset.invalidate(server.service);
+                let service = server.service;
+                self.servers_changed(service);
             }
             self.close_idle_if_leaving(actions, key);
             self.remove_if_unused(key);
--- a/crates/thornbridge-core/src/gateway/servers/registering.rs
+++ b/crates/thornbridge-core/src/gateway/servers/registering.rs
@@ -25,6 +25,7 @@
         };
         let known = self.find_run(actions, instance, revision, origin);
         let key = known.unwrap_or_else(|| self.add(now, instance, revision));
+        self.update_version(key, instance);
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
@@ -33,7 +34,8 @@
             return;
         }
         server.availability = availability;
-        self.subset.invalidate(server.service);
+        let service = server.service;
+        self.servers_changed(service);
         actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
             id: instance.id.clone(),
             service: instance.service.to_string(),
@@ -65,10 +67,12 @@
         }
         server.availability = Availability::Gone;
         self.by_id.remove(&instance.id);
-        self.subset.invalidate(server.service);
+        let service = server.service;
+        let service_name = server.service_name.to_string();
+        self.servers_changed(service);
         actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
             id: instance.id.clone(),
-            service: server.service_name.to_string(),
+            service: service_name,
             state: "started_again",
             revision,
             origin,
@@ -106,9 +110,9 @@
                 Availability::Gone
             }
         };
-        self.subset.invalidate(server.service);
-        let service = server.service_name.to_string();
+        let (key_of_service, service) = (server.service, server.service_name.to_string());
         let state = server.availability.as_str();
+        self.servers_changed(key_of_service);
         actions.push_back(GatewayAction::Changed(GatewayChange::Instance {
             id: id.clone(),
             service,
@@ -127,6 +131,8 @@
         let distance = self.placement.distance_to(&instance.zone);
         let mut server = Server::new(now, instance, revision, service, distance);
         server.evacuated = self.evacuated.contains(&instance.zone);
+        let roles = &self.services[service.0 as usize].roles;
+        server.role = roles.role_of(&server.version);
         self.servers.insert(key, server);
         self.by_id.insert(instance.id.clone(), key);
         self.services[service.0 as usize].servers.push(key);
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -2,6 +2,7 @@
 
 use super::queue::PartQueue;
 use super::rejections::Rejections;
+use super::versions::VersionRole;
 use crate::driver_action::ConnectionId;
 use crate::gateway::budget::ServiceKey;
 use crate::gateway::event::ServerLoad;
@@ -10,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_proto::peer::view::{Instance, StoreRevision};
-use thornbridge_proto::{AttemptId, BackEndId, ServiceName, ZoneName};
+use thornbridge_proto::{AttemptId, BackEndId, ServerVersion, ServiceName, ZoneName};
 
 /// Largest change of the logarithm of a slowdown by one observation. One slow answer may be a pause;
 /// two in a row indicate a slow server.
@@ -107,6 +108,10 @@
     pub(in crate::gateway) service_name: ServiceName,
     pub(in crate::gateway) address: SocketAddr,
     pub(in crate::gateway) zone: ZoneName,
+    pub(super) version: ServerVersion,
+    pub(in crate::gateway) role: VersionRole,
+    /// Whether the server serves although its version is held: no serving server is left.
+    pub(super) stands_in: bool,
     pub(in crate::gateway) distance: Distance,
     /// Requests that the server processes concurrently.
     pub(in crate::gateway) slots: u32,
@@ -120,6 +125,8 @@
     pub(in crate::gateway) preconnect: bool,
     pub(in crate::gateway) in_flight: Vec<InFlightAttempt>,
     pub(in crate::gateway) queue: PartQueue,
+    /// Whether the queued parts were queued under another role and must move.
+    pub(super) queue_void: bool,
     pub(in crate::gateway) idle: Vec<IdleConnection>,
     /// Established connections.
     pub(in crate::gateway) open: u32,
@@ -158,6 +165,9 @@
             service_name: instance.service.clone(),
             address: instance.address,
             zone: instance.zone.clone(),
+            version: instance.version.clone(),
+            role: VersionRole::Serving,
+            stands_in: false,
             distance,
             slots: instance.slots.max(1),
             availability: Availability::Ready,
@@ -166,6 +176,7 @@
             preconnect: true,
             in_flight: Vec::new(),
             queue: PartQueue::default(),
+            queue_void: false,
             idle: Vec::new(),
             open: 0,
             opening: 0,
@@ -199,7 +210,7 @@
 
     /// Whether the server may get new requests, if only as a last resort.
     pub(in crate::gateway) fn takes_requests(&self) -> bool {
-        !self.evacuated && !self.is_leaving()
+        !self.evacuated && !self.is_leaving() && self.version_serves()
     }
 
     /// Whether the server is displaced, draining or gone.
@@ -210,6 +221,11 @@
         }
     }
 
+    /// Whether the server has started so recently that it is slower than usual.
+    pub(super) fn is_cold(&self, now: Timestamp) -> bool {
+        now < self.cold_until
+    }
+
     /// Treats the server as cold at least until the given time.
     pub(super) fn extend_cold_start(&mut self, until: Timestamp) {
         self.cold_until = self.cold_until.max(until);
@@ -249,7 +265,7 @@
     ) -> f64 {
         let (log_slowdown, at) = self.log_slowdown;
         let decayed = log_slowdown * decay_factor(now.since(at), parameters.speed_half_life);
-        let cold = if now < self.cold_until {
+        let cold = if self.is_cold(now) {
             COLD_START_SLOWDOWN
         } else {
             0.0
--- a/crates/thornbridge-core/src/gateway/servers/subset.rs
+++ b/crates/thornbridge-core/src/gateway/servers/subset.rs
@@ -8,7 +8,7 @@
 //! Until the member list has settled after startup, a node connects to one server of each service,
 //! since all nodes may be starting at once.
 
-use super::{Placement, ServerKey, Servers};
+use super::{Placement, Server, ServerKey, Servers};
 use crate::gateway::budget::ServiceKey;
 use crate::routing::subset::{
     SubsetBuild, SubsetNode, SubsetParameters, SubsetServer, Topology, identity_hash, pair_hash,
@@ -100,19 +100,36 @@
 
     /// Recomputes the assignment of a service; returns the number of pairs evaluated.
     fn reassign_service(&mut self, now: Timestamp, service: ServiceKey) -> usize {
-        let entry = &self.services[service.0 as usize];
-        let Some(limit) = entry.connection_limit else {
+        let Some(limit) = self.services[service.0 as usize].connection_limit else {
             return 0;
         };
-        let keys: Vec<ServerKey> = entry
-            .servers
-            .iter()
-            .copied()
-            .filter(|key| self.servers.get(key).is_some_and(|s| s.takes_requests()))
-            .collect();
-        let shares = match entry.ownership {
+        // A version on trial is assigned by itself, so that nothing moves when it takes over.
+        let on_trial = self.keys_of(service, Server::takes_trials);
+        let serving = self.keys_of(service, Server::takes_requests);
+        let mut evaluated = self.reassign_servers(now, service, &serving, limit);
+        if !on_trial.is_empty() {
+            evaluated += self.reassign_servers(now, service, &on_trial, limit);
+        }
+        evaluated
+    }
+
+    fn keys_of(&self, service: ServiceKey, usable: impl Fn(&Server) -> bool) -> Vec<ServerKey> {
+        let keys = self.services[service.0 as usize].servers.iter().copied();
+        keys.filter(|key| self.servers.get(key).is_some_and(&usable))
+            .collect()
+    }
+
+    /// Recomputes the assignment of some servers of a service; returns the number of pairs evaluated.
+    fn reassign_servers(
+        &mut self,
+        now: Timestamp,
+        service: ServiceKey,
+        keys: &[ServerKey],
+        limit: u32,
+    ) -> usize {
+        let shares = match self.services[service.0 as usize].ownership {
             Some(ownership) => vec![u32::from(ownership.is_owner); keys.len()],
-            None => self.shares(now, &keys, limit),
+            None => self.shares(now, keys, limit),
         };
         for (key, share) in keys.iter().zip(shares) {
             if let Some(server) = self.servers.get_mut(key) {
