--- a/crates/thornbridge-core/src/gateway/rollouts/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/mod.rs
@@ -7,4 +7,6 @@
 //! ([`VersionRoles`](super::servers::VersionRoles)).
 
 pub(super) mod conductor;
+#[cfg(test)]
+mod tests;
 pub(super) mod trials;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/mod.rs
@@ -0,0 +1,3 @@
+//! Unit and property tests of roll-outs.
+
+mod trials;
