Tests of trials: those that a change of the code did not fail

Five of them failed no test: parts queued before a trial, in two ways; a permit returned to a later trial; idle connections to a version on trial; an evacuated service whose only other servers are on trial. Tests of these are added or sharpened.

--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -6,11 +6,10 @@
 use super::trials::{record_outcome, restore_permit, return_permit};
 use super::{AttemptTarget, Context, Exchanges};
 use crate::driver_action::{CallerId, ConnectionId};
-use crate::gateway::action::GatewayAction;
 use crate::gateway::event::{ExchangeFailure, ReplyVerdict, ServerReply};
 use crate::gateway::routes::RouteKey;
 use crate::gateway::servers::{ConnectionLoss, ServerKey};
-use crate::gateway::telemetry::{AttemptCause, AttemptOutcome, AttemptSummary, GatewayChange};
+use crate::gateway::telemetry::{AttemptCause, AttemptOutcome, AttemptSummary};
 use crate::time::Timestamp;
 use std::time::Duration;
 use thornbridge_proto::AttemptId;
@@ -18,8 +17,6 @@
 
 /// Lowest status that counts as a server failure.
 const FIRST_SERVER_ERROR_STATUS: u16 = 500;
-/// Failure cost from which a server is logged as avoided.
-const AVOIDED_FAILURE_COST: Duration = Duration::from_millis(100);
 
 /// An in-flight attempt.
 #[derive(Clone, Copy, Debug)]
@@ -344,39 +341,6 @@
             AttemptOutcome::Waiting | AttemptOutcome::Open | AttemptOutcome::Broken => {}
         }
     }
-
-    fn add_failure_cost(
-        &mut self,
-        context: &mut Context<'_>,
-        key: ServerKey,
-        cost: Duration,
-        cause: &'static str,
-    ) {
-        let parameters = context.servers.parameters.clone();
-        if let Some(server) = context.servers.get_mut(key) {
-            server.add_failure_cost(&parameters, context.now, cost);
-        }
-        self.report_avoidance(context, key, cause);
-    }
-
-    /// Logs when a server starts or stops being avoided.
-    fn report_avoidance(&mut self, context: &mut Context<'_>, key: ServerKey, cause: &'static str) {
-        let parameters = context.servers.parameters.clone();
-        let Some(server) = context.servers.get_mut(key) else {
-            return;
-        };
-        let avoided = server.failure_cost(&parameters, context.now) >= AVOIDED_FAILURE_COST;
-        if avoided == server.avoided {
-            return;
-        }
-        server.avoided = avoided;
-        let change = GatewayChange::ServerAvoidance {
-            id: server.id.clone(),
-            avoided,
-            cause,
-        };
-        context.actions.push_back(GatewayAction::Changed(change));
-    }
 }
 
 fn outcome_of(reply: &ServerReply) -> AttemptOutcome {
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -11,6 +11,7 @@
 
 mod answering;
 mod attempts;
+mod avoidance;
 mod delay;
 mod dispatching;
 mod hedging;
--- a/crates/thornbridge-core/src/gateway/rollouts/tests/trials.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/trials.rs
@@ -126,6 +126,7 @@
     assert!(take(&mut trials, at(1)));
     trials.end(SERVICE);
     trials.begin(SERVICE);
+    grant(&mut trials, at(1), 1);
     trials.return_permit(SERVICE, ROUTE);
     assert_eq!(returned(&mut trials, at(2)), 0);
 }
--- a/crates/thornbridge-core/src/gateway/tests/trials.rs
+++ b/crates/thornbridge-core/src/gateway/tests/trials.rs
@@ -1,19 +1,20 @@
 //! Permits in the exchange: what reaches a version on trial.
 
 use super::slice_support::{receive_task, task};
-use super::support::{Harness, RECORD, answer, answer_all, millis, verdict};
+use super::support::{Harness, RECORD, answer, answer_all, millis, server_address, verdict};
 use super::trial_support::{
     SERVICE, VALID, answered_request, gather_route, grant, grant_for, held, holding_connects,
-    names, on_trial, report, rolled_back, server, servers_of, servers_used, serving, serving_route,
-    set_roles, trial,
+    names, on_trial, report, rolled_back, server, servers_of, servers_used, service_key, serving,
+    serving_route, set_roles, trial,
 };
 use crate::driver_action::CallerId;
+use crate::gateway::servers::VersionRoles;
 use crate::gateway::{
     ExchangeFailure, GatewayAnswer, GatewayEvent, ReplyVerdict, ViewKind, ViewObject,
 };
 use assert_matches::assert_matches;
+use thornbridge_proto::BackEndId;
 use thornbridge_proto::peer::view::StoreRevision;
-use thornbridge_proto::{BackEndId, ServiceName};
 
 const GATHER_ROUTE: &str = "/search/";
 
@@ -171,17 +172,36 @@
     assert_eq!(harness.sent[0].instance, "old-1");
 }
 
-#[test]
-fn part_queued_before_trial_is_moved() {
-    let mut harness = holding_connects(held(), &["new-1"]);
+/// A request that waits for a connection to a server of the new version, which serves, beside an
+/// unconnected server of the old version.
+fn queued_before_trial() -> (Harness, CallerId) {
+    let mut harness = holding_connects(VersionRoles::default(), &["new-1"]);
     harness.advance(millis(5_000));
-    harness.send_request("/x");
-    assert!(harness.sent.is_empty());
+    let caller = harness.send_request("/x");
     harness.watch_reply(ViewKind::Registry, vec![server("old-1")], 60);
+    assert!(!harness.opened.contains(&server_address("old-1")));
+    (harness, caller)
+}
+
+#[test]
+fn queued_part_moves_at_once_when_trial_begins() {
+    let (mut harness, caller) = queued_before_trial();
     set_roles(&mut harness, on_trial());
+    assert!(harness.opened.contains(&server_address("old-1")));
     harness.open_pending();
-    let used: Vec<&str> = harness.sent.iter().map(|s| s.instance.as_str()).collect();
-    assert_eq!(used, ["old-1"]);
+    assert_eq!(servers_of(&harness, caller), ["old-1"]);
+}
+
+/// Guards against a connection that opens before the queued parts have moved.
+#[test]
+fn part_queued_before_trial_is_not_sent_to_version_on_trial() {
+    let (mut harness, caller) = queued_before_trial();
+    let service = service_key(&mut harness);
+    let servers = &mut harness.gateway.servers;
+    servers.set_version_roles(service, on_trial());
+    harness.open_pending();
+    harness.open_pending();
+    assert_eq!(servers_of(&harness, caller), ["old-1"]);
 }
 
 /// A request that waits for a connection to the server of the version on trial.
@@ -291,8 +311,7 @@
 #[test]
 fn nothing_is_counted_without_trial() {
     let mut harness = trial();
-    let service = ServiceName::new(SERVICE);
-    let service = harness.gateway.servers.service_key(&service);
+    let service = service_key(&mut harness);
     harness.gateway.trials.end(service);
     answered_request(&mut harness);
     harness.gateway.trials.begin(service);
--- a/crates/thornbridge-core/src/gateway/tests/version_roles.rs
+++ b/crates/thornbridge-core/src/gateway/tests/version_roles.rs
@@ -2,8 +2,8 @@
 
 use super::support::{Harness, RECORD, answer, answer_all, millis, server_address};
 use super::trial_support::{
-    NEW, OLD, complete, held, names, on_trial, plain_route, rolled_back, server, servers_used,
-    service_key, serving, serving_route, set_roles,
+    NEW, OLD, answered_request, complete, grant, held, names, on_trial, plain_route, rolled_back,
+    server, servers_used, service_key, serving, serving_route, set_roles,
 };
 use crate::gateway::servers::VersionRoles;
 use crate::gateway::{GatewayAnswer, RefusalStatus, ViewKind, ViewObject};
@@ -199,6 +199,16 @@
     assert!(!harness.opened.contains(&server_address("new-1")));
 }
 
+/// Guards against a new connection for each permit, which occupies a slot of the server.
+#[test]
+fn used_connection_to_version_on_trial_stays_open() {
+    let mut harness = serving(on_trial(), &["old-1", "new-1"]);
+    grant(&mut harness, 1);
+    assert_eq!(answered_request(&mut harness), ["new-1"]);
+    let connection = harness.sent[0].connection;
+    assert!(harness.open.contains(&connection));
+}
+
 /// Guards against a version that takes over without connections.
 #[test]
 fn version_on_trial_is_connected_to_ahead_of_use_if_warm() {
@@ -255,6 +265,19 @@
     assert!(servers.trial_instances(harness.now, service).is_empty());
 }
 
+/// Guards against retries of callers that wait for servers of the version on trial.
+#[test]
+fn service_is_evacuated_if_only_version_on_trial_is_elsewhere() {
+    let mut harness = serving(on_trial(), &["old-1"]);
+    change(&mut harness, "new-1", 60, |instance| {
+        instance.zone = ZoneName::new("far");
+    });
+    let service = service_key(&mut harness);
+    let servers = &mut harness.gateway.servers;
+    servers.set_evacuated(harness.now, &ZoneName::new("zone"), true);
+    assert!(servers.is_evacuated(service));
+}
+
 /// Guards against roles that are lost for a service that has no servers yet.
 #[test]
 fn roles_of_service_without_servers_apply_later() {
