A part that waited too long is not sent to a version on trial

Its node may have been paused: a connection that opens after the pause is handled before the timers, and the version may have been rolled back in the meantime. The test fails without the change (sent to new-1 instead of old-1).

--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -327,13 +327,13 @@
         cause: AttemptCause,
         server_accepts: bool,
     ) {
+        let accepts_part = server_accepts && may_be_sent_to(context, &request.parts[index], server);
         let part = &mut request.parts[index];
         part.state = PartState::NeedsAttempt(cause);
         part.check_at = None;
         // Charged again if the charge lapsed in the queue; before a connection is taken, so that a denied
         // part leaves it to others.
-        if server_accepts
-            && may_be_sent_to(context, &request.parts[index], server)
+        if accepts_part
             && Self::may_send_now(context, request)
             && self.charge_budget(context, request, index)
             && let AcquireOutcome::Idle(connection) =
--- a/crates/thornbridge-core/src/gateway/exchange/trials.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/trials.rs
@@ -67,10 +67,13 @@
     }
 }
 
-/// Whether a server may get a part: one on trial only gets parts with a permit.
+/// Whether a server may get a part of its queue: one on trial only gets parts with a permit that have
+/// not waited too long. A node that was paused may not know yet that the version was rolled back.
 pub(super) fn may_be_sent_to(context: &Context<'_>, part: &Part, server: ServerKey) -> bool {
+    let overdue = part.check_at.is_some_and(|time| time <= context.now);
+    let permitted = part.has_permit && !overdue;
     let server = context.servers.get(server);
-    part.has_permit || server.is_some_and(Server::takes_requests)
+    permitted || server.is_some_and(Server::takes_requests)
 }
 
 /// Counts a request to its service when the first attempt is sent.
--- a/crates/thornbridge-core/src/gateway/tests/trials.rs
+++ b/crates/thornbridge-core/src/gateway/tests/trials.rs
@@ -221,6 +221,16 @@
     assert_eq!(servers_of(&harness, caller), ["new-1"]);
 }
 
+/// Guards against a node that was paused, and sends to a version that was rolled back meanwhile.
+#[test]
+fn overdue_part_with_permit_is_not_sent_to_version_on_trial() {
+    let (mut harness, caller) = queued_with_permit();
+    // No timer fires while the process is paused.
+    harness.now = harness.now + millis(500);
+    harness.open_pending();
+    assert_eq!(servers_of(&harness, caller), ["old-1"]);
+}
+
 #[test]
 fn queued_part_moves_at_once_when_version_is_rolled_back() {
     let (mut harness, caller) = queued_with_permit();
