--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -3,13 +3,13 @@
 use super::dispatching::remove_in_flight;
 use super::part::PartState;
 use super::request::Request;
+use super::trials::{record_outcome, restore_permit, return_permit};
 use super::{AttemptTarget, Context, Exchanges};
 use crate::driver_action::{CallerId, ConnectionId};
-use crate::gateway::action::GatewayAction;
 use crate::gateway::event::{ExchangeFailure, ReplyVerdict, ServerReply};
 use crate::gateway::routes::RouteKey;
 use crate::gateway::servers::{ConnectionLoss, ServerKey};
-use crate::gateway::telemetry::{AttemptCause, AttemptOutcome, AttemptSummary, GatewayChange};
+use crate::gateway::telemetry::{AttemptCause, AttemptOutcome, AttemptSummary};
 use crate::time::Timestamp;
 use std::time::Duration;
 use thornbridge_proto::AttemptId;
@@ -17,8 +17,6 @@
 
 /// Lowest status that counts as a server failure.
 const FIRST_SERVER_ERROR_STATUS: u16 = 500;
-/// Failure cost from which a server is logged as avoided.
-const AVOIDED_FAILURE_COST: Duration = Duration::from_millis(100);
 
 /// An in-flight attempt.
 #[derive(Clone, Copy, Debug)]
@@ -33,6 +31,8 @@
     pub(super) cancel_at: Option<Timestamp>,
     /// Request to suspect if the server crashes; `None` once any server answered it.
     pub(super) suspect: Option<Fingerprint>,
+    /// Whether the attempt used a permit for a version on trial.
+    pub(super) had_permit: bool,
 }
 
 impl Exchanges {
@@ -50,6 +50,7 @@
         if let (AttemptOutcome::Answered, Some(fingerprint)) = (outcome, record.suspect) {
             context.quarantine.record_answer(context.now, fingerprint);
         }
+        record_outcome(context, &record, outcome);
         self.observe_reply(context, &record, &reply, outcome);
         let AttemptTarget { server, connection } = record.target;
         if reply.reusable {
@@ -80,6 +81,10 @@
             ExchangeFailure::NotSent => AttemptOutcome::NotRun,
             ExchangeFailure::MayHaveRun => AttemptOutcome::Broken,
         };
+        match failure {
+            ExchangeFailure::NotSent => restore_permit(context, &record),
+            ExchangeFailure::MayHaveRun => record_outcome(context, &record, outcome),
+        }
         if failure == ExchangeFailure::MayHaveRun {
             let cost = context.servers.parameters.failure_cost;
             self.add_failure_cost(context, server, cost, "broken");
@@ -156,6 +161,7 @@
             return;
         };
         let AttemptTarget { server, connection } = record.target;
+        record_outcome(context, &record, AttemptOutcome::Open);
         context.servers.close(context.actions, connection);
         self.add_failure_cost(
             context,
@@ -171,11 +177,13 @@
     pub(super) fn abandon_attempts(
         &mut self,
         context: &mut Context<'_>,
-        request: &Request,
+        request: &mut Request,
         cancel_at: Timestamp,
     ) {
         let suspect = (!request.has_answer()).then_some(request.fingerprint);
-        for (index, part) in request.parts.iter().enumerate() {
+        for index in 0..request.parts.len() {
+            return_permit(context, request, index);
+            let part = &request.parts[index];
             if let PartState::Queued(server, _) = part.state {
                 context.servers.remove_queued(server, request.caller, index);
             }
@@ -300,6 +308,10 @@
                 if let Some(mean_work) = mean_work {
                     server.observe_slowdown(&parameters, now, work, mean_work);
                 }
+                if server.is_on_trial() {
+                    // The usual work is that of the version that serves.
+                    return;
+                }
                 let normalized = work.div_f64(slowdown.max(0.1));
                 let statistics = context.routes.statistics(record.route);
                 statistics.work.observe(&parameters, normalized);
@@ -329,39 +341,6 @@
             AttemptOutcome::Waiting | AttemptOutcome::Open | AttemptOutcome::Broken => {}
         }
     }
-
-    fn add_failure_cost(
-        &mut self,
-        context: &mut Context<'_>,
-        key: ServerKey,
-        cost: Duration,
-        cause: &'static str,
-    ) {
-        let parameters = context.servers.parameters.clone();
-        if let Some(server) = context.servers.get_mut(key) {
-            server.add_failure_cost(&parameters, context.now, cost);
-        }
-        self.report_avoidance(context, key, cause);
-    }
-
-    /// Logs when a server starts or stops being avoided.
-    fn report_avoidance(&mut self, context: &mut Context<'_>, key: ServerKey, cause: &'static str) {
-        let parameters = context.servers.parameters.clone();
-        let Some(server) = context.servers.get_mut(key) else {
-            return;
-        };
-        let avoided = server.failure_cost(&parameters, context.now) >= AVOIDED_FAILURE_COST;
-        if avoided == server.avoided {
-            return;
-        }
-        server.avoided = avoided;
-        let change = GatewayChange::ServerAvoidance {
-            id: server.id.clone(),
-            avoided,
-            cause,
-        };
-        context.actions.push_back(GatewayAction::Changed(change));
-    }
 }
 
 fn outcome_of(reply: &ServerReply) -> AttemptOutcome {
