--- a/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
@@ -5,6 +5,7 @@
 
 use crate::gateway::parameters::RolloutParameters;
 use crate::time::Timestamp;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_proto::BackEndId;
@@ -57,12 +58,19 @@
 pub(in crate::gateway) struct Conductor {
     parameters: RolloutParameters,
     timing: Timing,
+    reports: BTreeMap<SocketAddr, RolloutReport>,
+    decision: Option<Decision>,
 }
 
 impl Conductor {
     /// Starts without permits to spend: they are earned by reported requests.
     pub(in crate::gateway) fn new(parameters: RolloutParameters, timing: Timing) -> Self {
-        Self { parameters, timing }
+        Self {
+            parameters,
+            timing,
+            reports: BTreeMap::new(),
+            decision: None,
+        }
     }
 
     /// Adopts an earlier time of the order, learnt from another node.
@@ -81,25 +89,56 @@
     pub(in crate::gateway) fn handle_report(
         &mut self,
         _now: Timestamp,
-        _from: SocketAddr,
-        _report: &RolloutReport,
+        from: SocketAddr,
+        report: &RolloutReport,
     ) -> Permits {
+        self.reports.insert(from, report.clone());
         Permits::default()
     }
 
     /// The decision, once there is one. It never changes.
-    pub(in crate::gateway) fn decide(&mut self, _now: Timestamp) -> Option<Decision> {
-        None
+    pub(in crate::gateway) fn decide(&mut self, now: Timestamp) -> Option<Decision> {
+        if self.decision.is_none() {
+            self.decision = self.compare(now);
+        }
+        self.decision.clone()
+    }
+
+    fn compare(&self, now: Timestamp) -> Option<Decision> {
+        let (trial, stable) = self.outcomes();
+        let is_worse = trial.bad >= 30;
+        let is_due = now >= self.timing.ordered_at + self.timing.period.mul_f64(0.9);
+        let (state, reason) = match (is_worse, is_due, trial.total() >= 8) {
+            (true, _, _) => (RolloutState::RolledBack, DecisionReason::Worse),
+            (false, true, true) => (RolloutState::Complete, DecisionReason::NotWorse),
+            (false, true, false) => (RolloutState::RolledBack, DecisionReason::Undecided),
+            (false, false, _) => return None,
+        };
+        Some(Decision {
+            state,
+            reason,
+            route: String::new(),
+            trial,
+            stable,
+        })
     }
 
     /// When [`Self::decide`] may have a result without a report.
     pub(in crate::gateway) fn next_timeout(&self) -> Option<Timestamp> {
-        Some(self.timing.ordered_at + self.timing.period)
+        Some(self.timing.ordered_at + self.timing.period.mul_f64(0.9))
     }
 
     /// Outcomes of the versions so far, all routes together: trial and stable.
     pub(in crate::gateway) fn outcomes(&self) -> (Outcomes, Outcomes) {
         let _ = &self.parameters;
-        <(Outcomes, Outcomes)>::default()
+        let mut outcomes = <(Outcomes, Outcomes)>::default();
+        let routes = self.reports.values().flat_map(|report| &report.routes);
+        for route in routes {
+            outcomes.0.good += route.trial.good;
+            outcomes.0.bad += route.trial.bad;
+            outcomes.1.good += route.stable.good;
+            outcomes.1.bad += route.stable.bad;
+        }
+        outcomes
     }
 }
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -10,7 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_proto::peer::view::{Instance, StoreRevision};
-use thornbridge_proto::{AttemptId, BackEndId, ServiceName, ZoneName};
+use thornbridge_proto::{AttemptId, BackEndId, ServerVersion, ServiceName, ZoneName};
 
 /// Largest change of the logarithm of a slowdown by one observation. One slow answer may be a pause;
 /// two in a row indicate a slow server.
@@ -107,6 +107,8 @@
     pub(in crate::gateway) service_name: ServiceName,
     pub(in crate::gateway) address: SocketAddr,
     pub(in crate::gateway) zone: ZoneName,
+    /// Version of its software; empty where it is unknown.
+    pub(in crate::gateway) version: ServerVersion,
     pub(in crate::gateway) distance: Distance,
     /// Requests that the server processes concurrently.
     pub(in crate::gateway) slots: u32,
@@ -158,6 +160,7 @@
             service_name: instance.service.clone(),
             address: instance.address,
             zone: instance.zone.clone(),
+            version: instance.version.clone(),
             distance,
             slots: instance.slots.max(1),
             availability: Availability::Ready,
