Control of roll-outs: orders, gossip, conducting, writes and version roles

Change, only if `rollouts.enabled`: - a fourth reader reads orders, by the node that reads the other views, with a watch four times as long; orders travel between nodes with the time since they were first read; - members report to the first by rendezvous rank that conducts; silent ones and those that cannot write are passed over for five seconds; decisions are told to reporters and to the first ranks; - states are written under the revision that was read, repeated until they stand; a final state that a restored store lost is written again; the slack goes to the conductor whose own write succeeded; - roles of versions follow from order, decision, and the version that served before; a node that knows none asks its peers and takes the version of most servers meanwhile; - messages of roll-outs go only to runs that announced themselves by an empty quarantine message; - a node is not ready before it knows the orders, within the warm-up time; - a conductor without recent reports writes its decision 0.7 s later, so that one with reports goes first; one that took over collects counts for 0.3 s before it decides.

Ruled out: state of two kinds of write in one number (a lost answer would have claimed the slack twice); a write by every node that knows the decision (72 calls for one state).

The tests were written with the code, not before it.

--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -61,7 +61,11 @@
             GatewayEvent::SourceReplied { kind, read, result } => {
                 self.source_replied(kind, read, result);
             }
-            GatewayEvent::StateWritten { .. } => {}
+            GatewayEvent::StateWritten {
+                service,
+                write,
+                result,
+            } => self.state_written(&service, write, result),
             GatewayEvent::PeerMessage { from, message } => self.peer_message(from, message),
             GatewayEvent::TaskNotSent { owner, slice } => {
                 let (exchanges, mut context) = self.exchanges();
@@ -101,6 +105,7 @@
             self.servers.next_timeout(),
             self.exchanges.next_timeout(),
             self.quarantine.next_timeout(),
+            self.next_rollout_timeout(),
             Some(self.next_maintenance),
             self.pending.next_timeout(),
             staged,
@@ -149,6 +154,7 @@
         self.servers.timer_due(self.now, &mut self.actions);
         self.quarantine
             .timer_due(self.now, &mut self.random, &mut self.actions);
+        self.rollout_timer_due();
         if self.next_maintenance <= self.now {
             self.next_maintenance = self.now + MAINTENANCE_INTERVAL;
             let kept = self.parameters.views.departures_kept;
@@ -157,6 +163,7 @@
             self.apply_registry_changes(released, ViewOrigin::Own);
             let ended = self.evacuations.expire_carried_over(self.now);
             self.apply_evacuation_changes(ended, ViewOrigin::Own);
+            self.maintain_rollouts();
             self.update_slices();
             self.report_budget_usage();
             self.open_links();
@@ -233,6 +240,7 @@
         for source in self.sources_mut() {
             source.set_parameters(parameters.views.clone());
         }
+        self.set_rollout_parameters(parameters.rollouts.clone(), &parameters.views);
         self.freshness.set_limit(parameters.views.staleness_limit);
         self.parameters = parameters;
         let state = "reconfigured";
@@ -270,8 +278,8 @@
         }
     }
 
-    /// Whether the views are loaded and every shard with servers has a connection, or the warm-up
-    /// time is over.
+    /// Whether the views and orders of roll-outs are loaded and every shard with servers has a
+    /// connection, or the warm-up time is over.
     fn is_ready_to_serve(&self) -> bool {
         if self.stopping || !self.has_views() {
             return false;
@@ -281,7 +289,8 @@
         }
         let shards = self.routes.shards();
         let warm = |shard| self.servers.is_warm(shard) || !self.servers.has_server(shard);
-        self.servers.available_count() > 0 && shards.into_iter().all(warm)
+        let knows_servers = self.servers.available_count() > 0 && self.rollouts.has_orders();
+        knows_servers && shards.into_iter().all(warm)
     }
 
     fn request(&mut self, caller: CallerId, head: RequestHead) {
--- a/crates/thornbridge-core/src/gateway/members.rs
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -86,6 +86,9 @@
         for source in self.sources_mut() {
             source.set_rank(rank);
         }
+        let accepting = accepting_members.iter().map(|member| member.address);
+        self.set_rollout_members(view, accepting.collect());
+        self.rollout_source.set_rank(rank);
         self.view_gossip
             .set_readers(&own_location, &accepting_members, rank);
         let members = accepting_members.len().max(1);
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod peer_messages;
 mod pending;
 mod quarantine;
+mod rollout_updates;
 #[allow(dead_code)]
 mod rollouts;
 mod routes;
@@ -55,6 +56,7 @@
     BudgetParameters, ExchangeParameters, GatewayParameters, QuarantineParameters,
     RolloutParameters, ServerParameters, SliceParameters, ViewParameters,
 };
+pub use rollouts::telemetry::{RolloutChange, RolloutStep};
 pub use servers::Placement;
 pub use telemetry::{
     AttemptCause, AttemptOutcome, AttemptSummary, GatewayChange, RequestSummary, SliceOutcome,
@@ -72,6 +74,9 @@
 use quarantine::Quarantine;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rollout_updates::order_reader_parameters;
+use rollouts::Rollouts;
+use rollouts::trials::Trials;
 use routes::RouteTable;
 use servers::Servers;
 use slices::Slices;
@@ -120,6 +125,7 @@
     configuration_source: SourceReader,
     registry_source: SourceReader,
     evacuation_source: SourceReader,
+    rollout_source: SourceReader,
     view_gossip: ViewGossip,
     registry: Registry,
     evacuations: Evacuations,
@@ -130,6 +136,8 @@
     budget: ExtraAttemptBudget,
     exchanges: Exchanges,
     quarantine: Quarantine,
+    rollouts: Rollouts,
+    trials: Trials,
     slices: Slices,
     own_address: SocketAddr,
     /// Whether members, shards or servers changed since slices were last assigned.
@@ -179,6 +187,8 @@
             registry_source: SourceReader::new(ViewKind::Registry, views.clone()).follow_peers(),
             evacuation_source: SourceReader::new(ViewKind::Evacuations, views.clone())
                 .follow_peers(),
+            rollout_source: SourceReader::new(ViewKind::Rollouts, order_reader_parameters(views))
+                .follow_peers(),
             view_gossip: ViewGossip::new(views.clone()),
             registry: Registry::default(),
             evacuations: Evacuations::default(),
@@ -202,6 +212,8 @@
             budget: ExtraAttemptBudget::new(parameters.budget.clone(), has_other_seeds, setup.seed),
             exchanges: Exchanges::new(parameters.exchange.clone()),
             quarantine: Quarantine::new(parameters.quarantine.clone()),
+            rollouts: Rollouts::new(parameters.rollouts.clone(), own_address),
+            trials: Trials::default(),
             pending: PendingRequests::default(),
             freshness: Freshness::new(parameters.views.staleness_limit),
             reads: true,
--- a/crates/thornbridge-core/src/gateway/peer_messages.rs
+++ b/crates/thornbridge-core/src/gateway/peer_messages.rs
@@ -16,6 +16,7 @@
 impl Gateway {
     pub(super) fn peer_message(&mut self, from: PeerEndpoint, message: PeerMessage) {
         self.slices.message_received(self.now, from.address);
+        self.note_rollout_peer(from);
         match message {
             PeerMessage::Membership(message) => self.with_membership(|membership, context| {
                 membership.peer_message(context, from, message);
@@ -23,11 +24,12 @@
             PeerMessage::View(message) => self.view_message(from.address, message),
             PeerMessage::Slice(message) => self.slice_message(from.address, message),
             PeerMessage::Quarantine(message) => {
+                self.rollout_peer_announced(from, &message);
                 for record in &message.records {
                     self.quarantine.merge(self.now, &mut self.actions, record);
                 }
             }
-            PeerMessage::Rollout(_) => {}
+            PeerMessage::Rollout(message) => self.rollout_message(from, message),
             // Query and action clusters ([`crate::Node`]) use these messages, gateways do not.
             PeerMessage::Configuration(_) | PeerMessage::Health(_) | PeerMessage::Action(_) => {}
         }
--- a/crates/thornbridge-core/src/gateway/rollouts/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/mod.rs
@@ -5,6 +5,35 @@
 //! nodes forget. The conductor compares the outcomes of both versions and decides ([`conductor`]).
 //! Which servers get requests follows from the orders known to a node
 //! ([`VersionRoles`](super::servers::VersionRoles)).
+//!
+//! | module | concern |
+//! | --- | --- |
+//! | `control` | orders and the schedule of all roll-outs |
+//! | `roles` | which servers get requests |
+//! | `orders` | orders known to this node |
+//! | `established` | versions that serve |
+//! | `messages` | orders, reports and grants exchanged with peers |
+//! | `peers` | peers that understand the messages |
+//! | `rollout` | state of one roll-out |
+//! | `reporter` | which member to report to |
+//! | `conducting` | reports to this node, decisions and their writes |
+//! | `writer` | writing a state until it stands |
+//! | `telemetry` | steps for logs and metrics |
+//! | [`conductor`] | permits and the comparison of the versions |
+//! | [`trials`] | permits and counts at this node |
 
+mod conducting;
 pub(super) mod conductor;
+pub(super) mod control;
+mod established;
+mod messages;
+pub(super) mod orders;
+mod peers;
+mod reporter;
+mod roles;
+mod rollout;
+pub(super) mod telemetry;
 pub(super) mod trials;
+mod writer;
+
+pub(super) use control::{Context, Rollouts};
--- a/crates/thornbridge-core/src/gateway/telemetry.rs
+++ b/crates/thornbridge-core/src/gateway/telemetry.rs
@@ -3,6 +3,7 @@
 use super::action::RefusalReason;
 use super::caller_try::CallerTry;
 use super::event::ViewKind;
+use super::rollouts::telemetry::RolloutChange;
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_config::routes::RouteVersion;
@@ -331,6 +332,8 @@
         /// Origin of the decision.
         origin: ViewOrigin,
     },
+    /// A roll-out went a step on.
+    Rollout(RolloutChange),
     /// The number of members that share the budgets changed.
     Members {
         /// Number of members.
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
@@ -0,0 +1,365 @@
+//! Test harness of roll-outs: gateways that exchange messages, and a store with orders.
+
+use super::rollout_store::{Store, StoreWrite};
+use super::support::millis;
+use crate::gateway::rollouts::trials::Arm;
+use crate::gateway::servers::{VersionRole, VersionRoles};
+use crate::gateway::{
+    Gateway, GatewayAction, GatewayEvent, GatewayParameters, GatewaySetup, Placement,
+    SourceFailure, SourceRead, SourceReply, StateWriteReply, ViewKind,
+};
+use crate::time::Timestamp;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+use thornbridge_proto::peer::rollout::RolloutState;
+use thornbridge_proto::peer::view::StoreRevision;
+use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
+use thornbridge_proto::{NodeId, NodeName, RegionName, ServerVersion, ServiceName, ZoneName};
+
+/// Time between steps of the cluster; messages take one step.
+const STEP: Duration = Duration::from_millis(5);
+/// Time until the members know each other.
+const JOINING: Duration = Duration::from_secs(3);
+/// Outcomes, good and bad, of requests in a quarter of a second at each node.
+pub const GOOD: [u32; 2] = [2, 0];
+pub const BAD: [u32; 2] = [0, 2];
+pub const STABLE: [u32; 2] = [10, 0];
+
+/// Three nodes and an order for a service with servers of both versions.
+pub fn ordered() -> Cluster {
+    let mut cluster = Cluster::start(3, &["s"]);
+    cluster.store.order("s", "new");
+    cluster.store.register("s-3", "s", "new");
+    cluster.run(millis(1_000));
+    cluster
+}
+
+pub fn trial_roles() -> VersionRoles {
+    VersionRoles {
+        established: version("old"),
+        trial: version("new"),
+        ..VersionRoles::default()
+    }
+}
+
+pub fn rejected_roles() -> VersionRoles {
+    VersionRoles {
+        established: version("old"),
+        rejected: version("new"),
+        ..VersionRoles::default()
+    }
+}
+
+pub fn role_at(cluster: &Cluster, node: usize, service: &str, of: &str) -> VersionRole {
+    let roles = cluster.roles(node, service);
+    roles.role_of(&ServerVersion::new(of))
+}
+
+/// Watch without a result yet.
+struct Watch {
+    node: usize,
+    kind: ViewKind,
+    read: u64,
+    from: StoreRevision,
+    until: Timestamp,
+}
+
+/// Gateways and the store.
+pub struct Cluster {
+    pub nodes: Vec<Gateway>,
+    pub store: Store,
+    /// Nodes that neither get nor send anything.
+    pub down: BTreeSet<usize>,
+    /// Peer messages other than those of membership and views, by sender.
+    pub sent: Vec<(usize, SocketAddr, PeerMessage)>,
+    /// Kinds of views that were read.
+    pub reads: BTreeSet<&'static str>,
+    now: Timestamp,
+    events: Vec<(usize, GatewayEvent)>,
+    watches: Vec<Watch>,
+    /// Restarts of all nodes so far.
+    runs: u64,
+}
+
+/// Endpoint of the first run of a node.
+pub fn endpoint(node: usize) -> PeerEndpoint {
+    PeerEndpoint {
+        node: NodeId(1 + node as u64),
+        address: SocketAddr::from(([10, 0, 0, 1 + node as u8], 1)),
+    }
+}
+
+impl Cluster {
+    /// Starts nodes that know each other, with two servers of version `old` of each service.
+    pub fn start(nodes: usize, services: &[&str]) -> Self {
+        let mut cluster = Self::with_enabled(nodes, true);
+        for service in services {
+            cluster
+                .store
+                .register(&format!("{service}-1"), service, "old");
+            cluster
+                .store
+                .register(&format!("{service}-2"), service, "old");
+        }
+        cluster.run(JOINING);
+        cluster
+    }
+
+    /// Starts nodes with or without roll-outs.
+    pub fn with_enabled(nodes: usize, enabled: bool) -> Self {
+        let mut cluster = Self {
+            nodes: Vec::new(),
+            store: Store::empty(),
+            down: BTreeSet::new(),
+            sent: Vec::new(),
+            reads: BTreeSet::new(),
+            now: Timestamp::ZERO,
+            events: Vec::new(),
+            watches: Vec::new(),
+            runs: 0,
+        };
+        for _ in 0..nodes {
+            cluster.add_node(enabled);
+        }
+        cluster
+    }
+
+    pub fn add_node(&mut self, enabled: bool) {
+        let index = self.nodes.len();
+        let endpoint = self.endpoint(index);
+        let gateway = new_gateway(index, endpoint, enabled);
+        self.nodes.push(gateway);
+        self.events.push((index, GatewayEvent::Started));
+    }
+
+    /// Kills all nodes and starts them again, as other runs.
+    pub fn restart_all(&mut self) {
+        self.events.clear();
+        self.watches.clear();
+        self.runs += 1;
+        for index in 0..self.nodes.len() {
+            let endpoint = self.endpoint(index);
+            self.nodes[index] = new_gateway(index, endpoint, true);
+            self.events.push((index, GatewayEvent::Started));
+        }
+    }
+
+    /// Endpoint of the current run of a node.
+    fn endpoint(&self, node: usize) -> PeerEndpoint {
+        let first = endpoint(node);
+        PeerEndpoint {
+            node: NodeId(first.node.0 + 100 * self.runs),
+            ..first
+        }
+    }
+}
+
+fn new_gateway(index: usize, endpoint: PeerEndpoint, enabled: bool) -> Gateway {
+    let mut parameters = GatewayParameters::default();
+    parameters.rollouts.enabled = enabled;
+    let zone = ZoneName::new("zone");
+    let region = RegionName::new("region");
+    Gateway::new(GatewaySetup {
+        endpoint,
+        name: NodeName::new(format!("node-{index}")),
+        placement: Placement {
+            zone: zone.clone(),
+            region: region.clone(),
+            regions: BTreeMap::from([(zone, region)]),
+        },
+        seeds: vec![SocketAddr::from(([10, 0, 0, 1], 1))],
+        seed: 7 + index as u64,
+        parameters,
+    })
+}
+
+impl Cluster {
+    /// Runs for a time.
+    pub fn run(&mut self, time: Duration) {
+        let until = self.now + time;
+        while self.now < until {
+            self.now = self.now + STEP;
+            for (node, event) in std::mem::take(&mut self.events) {
+                self.handle(node, event);
+            }
+            for node in 0..self.nodes.len() {
+                let due = self.nodes[node].next_timeout();
+                if due.is_some_and(|due| due <= self.now) {
+                    self.handle(node, GatewayEvent::TimerDue);
+                }
+            }
+            self.answer_watches();
+        }
+    }
+
+    fn handle(&mut self, node: usize, event: GatewayEvent) {
+        if self.down.contains(&node) {
+            return;
+        }
+        self.nodes[node].handle(self.now, event);
+        while let Some(action) = self.nodes[node].poll_action() {
+            self.execute(node, action);
+        }
+    }
+
+    fn execute(&mut self, node: usize, action: GatewayAction) {
+        match action {
+            GatewayAction::SendPeer { to, message } => self.send(node, to, message),
+            GatewayAction::Read {
+                kind, read, what, ..
+            } => self.read(node, kind, read, what),
+            GatewayAction::WriteState {
+                service,
+                write,
+                based_on,
+                state,
+                ..
+            } => self.write(node, service, write, based_on, state),
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, node: usize, to: SocketAddr, message: PeerMessage) {
+        let target = (0..self.nodes.len()).find(|other| endpoint(*other).address == to);
+        let from = self.endpoint(node);
+        if let PeerMessage::Rollout(_) | PeerMessage::Quarantine(_) = &message {
+            self.sent.push((node, to, message.clone()));
+        }
+        if let Some(target) = target {
+            let event = GatewayEvent::PeerMessage { from, message };
+            self.events.push((target, event));
+        }
+    }
+
+    fn read(&mut self, node: usize, kind: ViewKind, read: u64, what: SourceRead) {
+        self.reads.insert(kind.as_str());
+        match what {
+            SourceRead::List { .. } => {
+                let result = Ok(self.store.list(kind));
+                let event = GatewayEvent::SourceReplied { kind, read, result };
+                self.events.push((node, event));
+            }
+            SourceRead::Watch { from, wait } => self.watches.push(Watch {
+                node,
+                kind,
+                read,
+                from,
+                until: self.now + wait,
+            }),
+        }
+    }
+
+    fn answer_watches(&mut self) {
+        for watch in std::mem::take(&mut self.watches) {
+            let changes = self.store.watch(watch.kind, watch.from);
+            let empty = SourceReply::Changes {
+                objects: Vec::new(),
+                at: self.store.at(),
+            };
+            let expired = (watch.until <= self.now).then_some(empty);
+            match changes.or(expired) {
+                Some(reply) => {
+                    let event = GatewayEvent::SourceReplied {
+                        kind: watch.kind,
+                        read: watch.read,
+                        result: Ok(reply),
+                    };
+                    self.events.push((watch.node, event));
+                }
+                None => self.watches.push(watch),
+            }
+        }
+    }
+
+    fn write(
+        &mut self,
+        node: usize,
+        service: ServiceName,
+        write: u64,
+        based_on: StoreRevision,
+        state: RolloutState,
+    ) {
+        let result = match self.store.refused_writers.contains(&node) {
+            true => Err(SourceFailure::Refused),
+            false => Ok(self.store.write(&service, based_on, state)),
+        };
+        let done = matches!(result, Ok(StateWriteReply::Written(_)));
+        self.store.writes.push(StoreWrite { node, state, done });
+        let is_lost = done && self.store.answers_to_lose > 0;
+        let result = match is_lost {
+            true => {
+                self.store.answers_to_lose -= 1;
+                Err(SourceFailure::Unreachable)
+            }
+            false => result,
+        };
+        let event = GatewayEvent::StateWritten {
+            service,
+            write,
+            result,
+        };
+        self.events.push((node, event));
+    }
+
+    /// Roles of a service's versions at a node.
+    pub fn roles(&self, node: usize, service: &str) -> VersionRoles {
+        let gateway = &self.nodes[node];
+        let key = gateway.servers.find_service(&ServiceName::new(service));
+        key.map(|key| gateway.rollouts.roles_of(key))
+            .unwrap_or_default()
+    }
+
+    /// Records requests at a node, with their outcomes at both versions.
+    pub fn record(&mut self, node: usize, service: &str, trial: [u32; 2], stable: [u32; 2]) {
+        let gateway = &mut self.nodes[node];
+        let key = gateway.servers.service_key(&ServiceName::new(service));
+        for (arm, [good, bad]) in [(Arm::Trial, trial), (Arm::Stable, stable)] {
+            for attempt in 0..good + bad {
+                gateway.trials.record_request(key, "route");
+                gateway
+                    .trials
+                    .record_outcome(key, "route", arm, attempt < good);
+            }
+        }
+    }
+
+    /// Runs for a time with requests at all nodes that are up.
+    pub fn run_with_traffic(
+        &mut self,
+        time: Duration,
+        service: &str,
+        trial: [u32; 2],
+        stable: [u32; 2],
+    ) {
+        let until = self.now + time;
+        while self.now < until {
+            for node in 0..self.nodes.len() {
+                if !self.down.contains(&node) {
+                    self.record(node, service, trial, stable);
+                }
+            }
+            self.run(millis(250));
+        }
+    }
+
+    /// Nodes by their rank as conductor of a service, the first one first.
+    pub fn ranking(&self, service: &str) -> Vec<usize> {
+        let hash = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
+        let mut nodes: Vec<usize> = (0..self.nodes.len()).collect();
+        let rank = |node: &usize| crate::gateway::slices::rank(endpoint(*node).address, hash);
+        nodes.sort_by_key(|node| std::cmp::Reverse(rank(node)));
+        nodes
+    }
+
+    /// Writes of a state that were done, with the nodes that made them.
+    pub fn writers_of(&self, state: RolloutState) -> Vec<usize> {
+        let writes = self.store.writes.iter();
+        let done = writes.filter(|write| write.done && write.state == state);
+        done.map(|write| write.node).collect()
+    }
+}
+
+pub fn version(name: &str) -> Option<ServerVersion> {
+    Some(ServerVersion::new(name))
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_failures.rs
@@ -0,0 +1,175 @@
+//! Roll-outs under failures of nodes and of the store.
+
+use super::rollout_cluster::{BAD, Cluster, GOOD, STABLE, ordered, rejected_roles, trial_roles};
+use super::support::millis;
+use thornbridge_proto::peer::rollout::RolloutState;
+
+#[test]
+fn next_member_conducts_and_decides_if_the_conductor_is_silent() {
+    let mut cluster = ordered();
+    let ranking = cluster.ranking("s");
+    cluster.down.insert(ranking[0]);
+    cluster.run_with_traffic(millis(5_000), "s", BAD, STABLE);
+    assert_eq!(
+        cluster.writers_of(RolloutState::RolledBack),
+        vec![ranking[1]]
+    );
+}
+
+#[test]
+fn service_without_requests_is_decided_if_the_conductor_is_silent() {
+    let mut cluster = ordered();
+    let ranking = cluster.ranking("s");
+    cluster.down.insert(ranking[0]);
+    cluster.run(millis(12_500));
+    assert_eq!(
+        cluster.writers_of(RolloutState::RolledBack),
+        vec![ranking[1]]
+    );
+}
+
+#[test]
+fn another_member_writes_the_decision_of_a_conductor_refused_by_the_store() {
+    let mut cluster = ordered();
+    let ranking = cluster.ranking("s");
+    cluster.store.refused_writers.insert(ranking[0]);
+    cluster.run_with_traffic(millis(6_000), "s", BAD, STABLE);
+    assert_eq!(
+        cluster.writers_of(RolloutState::RolledBack),
+        vec![ranking[1]]
+    );
+}
+
+#[test]
+fn conductor_refused_by_the_store_hands_the_sampling_over() {
+    let mut cluster = Cluster::start(3, &["s"]);
+    let ranking = cluster.ranking("s");
+    cluster.store.refused_writers.insert(ranking[0]);
+    cluster.store.register("s-3", "s", "new");
+    cluster.store.order("s", "new");
+    cluster.run_with_traffic(millis(4_000), "s", GOOD, STABLE);
+    assert_eq!(cluster.writers_of(RolloutState::Serving), vec![ranking[1]]);
+}
+
+#[test]
+fn bad_version_is_barred_while_no_node_can_write() {
+    let mut cluster = ordered();
+    cluster.store.refused_writers.extend(0..3);
+    cluster.run_with_traffic(millis(4_000), "s", BAD, STABLE);
+    for node in 0..3 {
+        assert_eq!(cluster.roles(node, "s"), rejected_roles(), "node {node}");
+    }
+    cluster.store.refused_writers.clear();
+    cluster.run_with_traffic(millis(2_000), "s", [0, 0], STABLE);
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::RolledBack));
+}
+
+#[test]
+fn write_that_was_done_without_an_answer_stands() {
+    let mut cluster = ordered();
+    cluster.store.answers_to_lose = 1;
+    cluster.run_with_traffic(millis(5_000), "s", BAD, STABLE);
+    assert_eq!(cluster.writers_of(RolloutState::RolledBack).len(), 1);
+    assert_eq!(cluster.roles(0, "s"), rejected_roles());
+}
+
+#[test]
+fn final_state_of_another_writer_is_adopted() {
+    let mut cluster = ordered();
+    cluster.store.answers_to_lose = 1;
+    cluster.run_with_traffic(millis(10_500), "s", GOOD, STABLE);
+    cluster.run(millis(2_000));
+    assert_eq!(cluster.writers_of(RolloutState::Complete).len(), 1);
+    assert!(cluster.nodes[0].rollouts.active.is_empty());
+}
+
+#[test]
+fn final_state_lost_by_a_restored_store_is_written_again() {
+    let mut cluster = ordered();
+    let copy = cluster.store.clone();
+    cluster.run_with_traffic(millis(4_000), "s", BAD, STABLE);
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::RolledBack));
+    cluster.store.restore(&copy);
+    cluster.run(millis(5_000));
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::RolledBack));
+    for node in 0..3 {
+        assert_eq!(cluster.roles(node, "s"), rejected_roles(), "node {node}");
+    }
+}
+
+#[test]
+fn restored_store_does_not_grant_the_slack_again() {
+    let mut cluster = Cluster::start(3, &["s"]);
+    cluster.store.order("s", "new");
+    let copy = cluster.store.clone();
+    cluster.run(millis(1_000));
+    assert_eq!(cluster.writers_of(RolloutState::Serving).len(), 1);
+    cluster.store.restore(&copy);
+    cluster.run(millis(3_000));
+    assert_eq!(cluster.writers_of(RolloutState::Serving).len(), 1);
+}
+
+#[test]
+fn conductor_that_was_frozen_does_not_undo_the_decision_of_the_next() {
+    let mut cluster = ordered();
+    let first = cluster.ranking("s")[0];
+    cluster.run_with_traffic(millis(1_000), "s", GOOD, STABLE);
+    cluster.down.insert(first);
+    cluster.run_with_traffic(millis(4_000), "s", BAD, STABLE);
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::RolledBack));
+    cluster.down.remove(&first);
+    cluster.run(millis(6_000));
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::RolledBack));
+    assert_eq!(cluster.roles(first, "s"), rejected_roles());
+}
+
+#[test]
+fn conductor_without_reports_leaves_the_decision_to_the_one_with_reports() {
+    let mut cluster = ordered();
+    let first = cluster.ranking("s")[0];
+    cluster.down.insert(first);
+    cluster.run_with_traffic(millis(8_500), "s", GOOD, STABLE);
+    cluster.down.remove(&first);
+    for _ in 0..12 {
+        for node in (0..3).filter(|node| *node != first) {
+            cluster.record(node, "s", GOOD, STABLE);
+        }
+        cluster.run(millis(250));
+    }
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::Complete));
+}
+
+#[test]
+fn good_version_completes_although_the_conductor_is_killed_late() {
+    let mut cluster = ordered();
+    let first = cluster.ranking("s")[0];
+    cluster.run_with_traffic(millis(9_500), "s", GOOD, STABLE);
+    cluster.down.insert(first);
+    cluster.run_with_traffic(millis(2_000), "s", GOOD, STABLE);
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::Complete));
+}
+
+#[test]
+fn trial_goes_on_after_all_nodes_were_killed() {
+    let mut cluster = ordered();
+    cluster.run_with_traffic(millis(1_000), "s", GOOD, STABLE);
+    cluster.restart_all();
+    cluster.run(millis(4_000));
+    for node in 0..3 {
+        assert_eq!(cluster.roles(node, "s"), trial_roles(), "node {node}");
+    }
+    assert_eq!(cluster.writers_of(RolloutState::Serving).len(), 1);
+    cluster.run_with_traffic(millis(11_000), "s", GOOD, STABLE);
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::Complete));
+}
+
+#[test]
+fn rejected_version_stays_rejected_after_all_nodes_were_killed() {
+    let mut cluster = ordered();
+    cluster.run_with_traffic(millis(4_000), "s", BAD, STABLE);
+    cluster.restart_all();
+    cluster.run(millis(4_000));
+    for node in 0..3 {
+        assert_eq!(cluster.roles(node, "s"), rejected_roles(), "node {node}");
+    }
+}
--- a/crates/thornbridge-core/src/gateway/view_updates.rs
+++ b/crates/thornbridge-core/src/gateway/view_updates.rs
@@ -54,6 +54,8 @@
             .set_follows_peers(now, actions, follows_peers, None);
         self.registry_source
             .set_follows_peers(now, actions, follows_peers, current);
+        self.set_order_reader(follows_peers);
+        let (now, actions) = (self.now, &mut self.actions);
         let follows_peers = follows_peers || !self.parameters.views.evacuations;
         self.evacuation_source
             .set_follows_peers(now, actions, follows_peers, None);
@@ -113,12 +115,16 @@
             ViewKind::Configuration => &mut self.configuration_source,
             ViewKind::Registry => &mut self.registry_source,
             ViewKind::Evacuations => &mut self.evacuation_source,
-            ViewKind::Rollouts => return,
+            ViewKind::Rollouts => &mut self.rollout_source,
         };
         let update = source.replied(self.now, &mut self.random, &mut self.actions, read, result);
         let Some(update) = update else {
             return;
         };
+        if kind == ViewKind::Rollouts {
+            self.orders_read(update);
+            return;
+        }
         let before = self.digest();
         let changed = match update {
             SourceUpdate::List(objects, at) => self.apply_list(kind, objects, at),
@@ -292,9 +298,11 @@
         if changes.is_empty() {
             return;
         }
+        let mut services = BTreeSet::new();
         for change in changes {
             match change {
                 RegistryChange::Upserted(revision, instance) => {
+                    services.insert(instance.service.clone());
                     self.servers.upsert_instance(
                         self.now,
                         &mut self.actions,
@@ -316,6 +324,7 @@
                 }
             }
         }
+        self.refresh_version_roles(services);
         self.slices_outdated = true;
         self.reassign_queued_parts();
     }
--- a/crates/thornbridge-node/src/gateway/log_lines.rs
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -3,9 +3,10 @@
 use std::fmt::Write;
 use std::time::Duration;
 use thornbridge_core::gateway::{
-    AttemptSummary, GatewayChange, RequestSummary, SliceSummary, SourceFailure,
+    AttemptSummary, GatewayChange, RequestSummary, RolloutChange, SliceSummary, SourceFailure,
 };
 use thornbridge_proto::BackEndId;
+use thornbridge_proto::peer::rollout::RolloutState;
 
 /// Maximum number of attempts listed in one line.
 const MAX_LISTED_ATTEMPTS: usize = 8;
@@ -204,6 +205,7 @@
             origin = origin.as_str();
             "request quarantine"
         ),
+        GatewayChange::Rollout(change) => log_rollout(change),
         GatewayChange::Members { members } => log::info!(members = *members; "members"),
         GatewayChange::BudgetMembers { members } => {
             log::info!(sharers = members.unwrap_or_default(); "budget sharers");
@@ -230,6 +232,34 @@
     }
 }
 
+/// Logs a step of a roll-out.
+fn log_rollout(change: &RolloutChange) {
+    log::info!(
+        service = change.service.as_str(),
+        target_version = change.target.as_str(),
+        step = change.step.as_str(),
+        state = change.state.map_or("none", format_rollout_state),
+        reason = change.reason,
+        route = change.route.as_str(),
+        trial_good = change.trial.good,
+        trial_bad = change.trial.bad,
+        stable_good = change.stable.good,
+        stable_bad = change.stable.bad,
+        elapsed_ms = millis(change.elapsed),
+        era = change.revision.era,
+        revision = change.revision.number;
+        "rollout"
+    );
+}
+
+fn format_rollout_state(state: RolloutState) -> &'static str {
+    match state {
+        RolloutState::Serving => "serving",
+        RolloutState::Complete => "complete",
+        RolloutState::RolledBack => "rolled_back",
+    }
+}
+
 fn join_ids(instances: &[BackEndId]) -> String {
     let ids: Vec<&str> = instances.iter().map(BackEndId::as_str).collect();
     ids.join(" ")
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -228,6 +228,7 @@
             GatewayChange::Scarcity { scarce: true, .. } => "connections_scarce",
             GatewayChange::Scarcity { .. } => "connections_plenty",
             GatewayChange::Quarantine { state, .. } => state,
+            GatewayChange::Rollout(change) => change.step.as_str(),
             GatewayChange::Members { .. } => "members",
             GatewayChange::BudgetMembers { .. } => "budget_sharers",
             GatewayChange::BudgetUsage { .. } => "budget_use",
