Roll-outs: a conductor that knows little lets others go first; more tests under failure

A node that lost sight of the others conducts as well. Its decision that too little is known is written 0.7 s later and not told to others, so that a conductor with outcomes goes first. Eras of orders from peers are checked, not only the era of their set.

Tests were tightened where a mutant of the code survived (a trial of mutants by hand): takeover within 2 s instead of 5 s, dropped outcomes of a former target, collected counts of a successor, decision told to possible successors, servers that restart.

--- a/crates/thornbridge-core/src/gateway/rollouts/messages.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/messages.rs
@@ -135,8 +135,11 @@
         from: SocketAddr,
         received: &RolloutOrders,
     ) {
-        let era = self.orders.at().map(|at| at.era);
-        if !is_plausible_era(era, received.at.era) {
+        let revisions = received.orders.iter().map(|order| order.revision);
+        let era = revisions.map(|revision| revision.era).max();
+        let era = era.unwrap_or_default().max(received.at.era);
+        let own_era = self.orders.at().map(|at| at.era);
+        if !is_plausible_era(own_era, era) {
             return;
         }
         let mut told: BTreeSet<ServiceName> = BTreeSet::new();
--- a/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
@@ -1,6 +1,6 @@
 //! One roll-out at this node: whom it reports to, what it conducts, and what is to be written.
 
-use super::conductor::{Conductor, Decision};
+use super::conductor::{Conductor, Decision, DecisionReason};
 use super::orders::KnownOrder;
 use super::reporter::Reporter;
 use super::writer::Writer;
@@ -18,8 +18,8 @@
 /// Time between a decision to complete and its write, in which nodes move their requests: the servers
 /// of the replaced version stop once the state is written.
 const MOVING: Duration = Duration::from_millis(300);
-/// Delay of the write of a decision without recent outcomes, so that a conductor with outcomes goes
-/// first.
+/// Delay of the write of a decision by a conductor that knows little, so that one that knows more goes
+/// first: a node that lost sight of the others conducts as well.
 const BLIND_DELAY: Duration = Duration::from_millis(700);
 /// Time after which another member writes a decision that the conductor has not written.
 const UNWRITTEN: Duration = Duration::from_secs(1);
@@ -39,9 +39,9 @@
 /// How this node came to a decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::gateway) enum DecisionOrigin {
-    /// Decided here, with outcomes of the version on trial.
+    /// Decided here, with enough outcomes of the version on trial.
     Own,
-    /// Decided here, without any outcome, or without recent reports.
+    /// Decided here, with too few outcomes or without recent reports.
     Blind,
     /// Learnt from another node, or from the store before it was restored.
     Learnt,
@@ -133,7 +133,8 @@
 
     /// Adopts the decision of this node's conductor.
     pub(in crate::gateway) fn decide(&mut self, now: Timestamp, decision: &Decision) {
-        let origin = match self.is_asked(now) && decision.trial.total() > 0 {
+        let is_undecided = decision.reason == DecisionReason::Undecided;
+        let origin = match self.is_asked(now) && !is_undecided {
             true => DecisionOrigin::Own,
             false => DecisionOrigin::Blind,
         };
--- a/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
@@ -71,6 +71,8 @@
     pub store: Store,
     /// Nodes that neither get nor send anything.
     pub down: BTreeSet<usize>,
+    /// Nodes that reach the store and no other node.
+    pub isolated: BTreeSet<usize>,
     /// Peer messages other than those of membership and views, by sender.
     pub sent: Vec<(usize, SocketAddr, PeerMessage)>,
     /// Kinds of views that were read.
@@ -112,6 +114,7 @@
             nodes: Vec::new(),
             store: Store::empty(),
             down: BTreeSet::new(),
+            isolated: BTreeSet::new(),
             sent: Vec::new(),
             reads: BTreeSet::new(),
             now: Timestamp::ZERO,
@@ -226,6 +229,8 @@
         if let PeerMessage::Rollout(_) | PeerMessage::Quarantine(_) = &message {
             self.sent.push((node, to, message.clone()));
         }
+        let is_cut = |node: &usize| self.isolated.contains(node);
+        let target = target.filter(|target| !is_cut(target) && !is_cut(&node));
         if let Some(target) = target {
             let event = GatewayEvent::PeerMessage { from, message };
             self.events.push((target, event));
--- a/crates/thornbridge-core/src/gateway/tests/rollout_failures.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_failures.rs
@@ -9,7 +9,7 @@
     let mut cluster = ordered();
     let ranking = cluster.ranking("s");
     cluster.down.insert(ranking[0]);
-    cluster.run_with_traffic(millis(5_000), "s", BAD, STABLE);
+    cluster.run_with_traffic(millis(2_000), "s", [0, 10], STABLE);
     assert_eq!(
         cluster.writers_of(RolloutState::RolledBack),
         vec![ranking[1]]
@@ -173,3 +173,54 @@
         assert_eq!(cluster.roles(node, "s"), rejected_roles(), "node {node}");
     }
 }
+
+#[test]
+fn successor_collects_the_counts_of_all_nodes_before_it_decides() {
+    let mut cluster = ordered();
+    let ranking = cluster.ranking("s");
+    cluster.run_with_traffic(millis(8_750), "s", [0, 0], STABLE);
+    cluster.down.insert(ranking[0]);
+    cluster.record(ranking[1], "s", [6, 0], STABLE);
+    cluster.record(ranking[2], "s", [6, 0], STABLE);
+    cluster.run_with_traffic(millis(2_500), "s", [0, 0], STABLE);
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::Complete));
+}
+
+#[test]
+fn possible_successor_without_requests_learns_the_decision() {
+    let mut cluster = ordered();
+    let ranking = cluster.ranking("s");
+    cluster.store.refused_writers.extend(0..3);
+    for _ in 0..8 {
+        cluster.record(ranking[0], "s", [0, 10], STABLE);
+        cluster.run(millis(250));
+    }
+    assert_eq!(cluster.roles(ranking[1], "s"), rejected_roles());
+}
+
+#[test]
+fn node_that_lost_sight_of_the_others_does_not_reject_a_good_version() {
+    let mut cluster = ordered();
+    let last = cluster.ranking("s")[2];
+    cluster.isolated.insert(last);
+    for _ in 0..44 {
+        for node in 0..3 {
+            let trial = if node == last { [0, 0] } else { GOOD };
+            cluster.record(node, "s", trial, STABLE);
+        }
+        cluster.run(millis(250));
+    }
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::Complete));
+}
+
+#[test]
+fn decision_is_written_by_another_member_if_the_conductor_is_killed_before() {
+    let mut cluster = ordered();
+    let first = cluster.ranking("s")[0];
+    cluster.store.refused_writers.insert(first);
+    cluster.run_with_traffic(millis(750), "s", [0, 10], STABLE);
+    assert_eq!(cluster.roles(first, "s"), rejected_roles());
+    cluster.down.insert(first);
+    cluster.run(millis(3_000));
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::RolledBack));
+}
--- a/crates/thornbridge-core/src/gateway/tests/rollouts.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollouts.rs
@@ -6,7 +6,7 @@
 use super::support::millis;
 use crate::gateway::servers::{VersionRole, VersionRoles};
 use thornbridge_proto::ServiceName;
-use thornbridge_proto::peer::rollout::RolloutState;
+use thornbridge_proto::peer::rollout::{Outcomes, RolloutState};
 
 #[test]
 fn ordered_version_is_on_trial_at_all_nodes() {
@@ -197,3 +197,43 @@
         assert_eq!(role_at(&cluster, node, "s", "new"), VersionRole::Serving);
     }
 }
+
+#[test]
+fn outcomes_of_a_former_target_are_dropped() {
+    let mut cluster = ordered();
+    cluster.record(0, "s", [0, 3], [0, 0]);
+    cluster.store.order("s", "newer");
+    cluster.run(millis(1_500));
+    cluster.record(0, "s", [1, 0], [0, 0]);
+    let gateway = &mut cluster.nodes[0];
+    let key = gateway.servers.service_key(&ServiceName::new("s"));
+    let report = gateway.trials.take_report(gateway.now, key);
+    let routes = report.expect("nothing to report");
+    assert_eq!(routes[0].trial, Outcomes { good: 1, bad: 0 });
+}
+
+#[test]
+fn version_that_served_alone_for_long_replaces_the_established_one() {
+    let mut cluster = Cluster::start(2, &["s"]);
+    cluster.store.register("s-3", "s", "new");
+    cluster.store.deregister("s-1");
+    cluster.store.deregister("s-2");
+    cluster.run(millis(15_000));
+    cluster.store.register("s-4", "s", "old");
+    cluster.run(millis(1_000));
+    assert_eq!(role_at(&cluster, 0, "s", "new"), VersionRole::Serving);
+    assert_eq!(role_at(&cluster, 0, "s", "old"), VersionRole::Held);
+}
+
+#[test]
+fn established_version_whose_servers_restart_keeps_its_role() {
+    let mut cluster = Cluster::start(2, &["s"]);
+    cluster.store.register("s-3", "s", "new");
+    cluster.store.deregister("s-1");
+    cluster.store.deregister("s-2");
+    cluster.run(millis(4_000));
+    cluster.store.register("s-4", "s", "old");
+    cluster.run(millis(1_000));
+    assert_eq!(role_at(&cluster, 0, "s", "old"), VersionRole::Serving);
+    assert_eq!(role_at(&cluster, 0, "s", "new"), VersionRole::Held);
+}
