Roll-outs: no version is taken for the established one before the orders are known

Cause: a node that read the registry before the orders took the target of an order for the version that serves, if no other server was registered; the version on trial then got all requests. Seen failing by ordered_version_without_any_other_server_is_not_taken_for_the_established_one before the change.

Change: versions are observed and guessed only once the orders are known; then all services are looked at again. A decision made knowing little is not told, and yields to the one of another conductor.

--- a/crates/thornbridge-core/src/gateway/rollout_updates.rs
+++ b/crates/thornbridge-core/src/gateway/rollout_updates.rs
@@ -90,7 +90,7 @@
             })
             .collect();
         let (rollouts, mut context) = self.rollouts();
-        rollouts.orders_listed(&mut context, &orders, at);
+        rollouts.merge_orders(&mut context, &orders, at);
     }
 
     fn apply_order_changes(&mut self, objects: Vec<ViewObject>, at: StoreRevision) {
--- a/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
@@ -66,11 +66,12 @@
     fn answer(&self, order: &RolloutId, conducts: bool, permits: Permits) -> RolloutGrant {
         let known = self.orders.get(&order.service);
         let is_known = known.is_some_and(|known| known.id == *order);
-        let decision = is_known.then(|| self.outcome(&order.service)).flatten();
-        let permits = match decision {
+        let outcome = is_known.then(|| self.outcome(&order.service)).flatten();
+        let permits = match outcome {
             None => permits,
             Some(_) => Permits::default(),
         };
+        let decision = outcome.filter(|_| !self.is_blind(&order.service));
         RolloutGrant {
             order: order.clone(),
             conducts,
@@ -81,6 +82,13 @@
         }
     }
 
+    /// Whether this node decided knowing little, so that others are not told.
+    fn is_blind(&self, service: &ServiceName) -> bool {
+        let rollout = self.active.get(service);
+        let decision = rollout.and_then(|rollout| rollout.decision.as_ref());
+        decision.is_some_and(|decision| decision.origin == DecisionOrigin::Blind)
+    }
+
     /// Creates the conductor of a roll-out that is not decided.
     fn start_conducting(&mut self, context: &mut Context<'_>, service: &ServiceName) {
         let Some(order) = self.orders.get(service) else {
@@ -164,10 +172,7 @@
         let Some(rollout) = self.active.get(service) else {
             return;
         };
-        let is_blind = rollout
-            .decision
-            .is_some_and(|decision| decision.origin == DecisionOrigin::Blind);
-        if is_blind {
+        if self.is_blind(service) {
             return;
         }
         let nodes = rollout.nodes_to_tell(self.own);
--- a/crates/thornbridge-core/src/gateway/rollouts/control.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/control.rs
@@ -164,14 +164,18 @@
         self.active.keys().cloned().collect()
     }
 
-    /// Applies a list of all orders.
-    pub(in crate::gateway) fn orders_listed(
+    /// Merges all orders as of a revision, from the store or a peer.
+    pub(in crate::gateway) fn merge_orders(
         &mut self,
         context: &mut Context<'_>,
         orders: &[RolloutOrder],
         at: StoreRevision,
     ) {
+        let was_unknown = self.orders.at().is_none();
         let changed = self.orders.merge(context.now, orders, at);
+        if was_unknown && self.orders.at().is_some() {
+            self.refresh_all_roles(context);
+        }
         self.orders_changed(context, changed);
     }
 
--- a/crates/thornbridge-core/src/gateway/rollouts/established.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/established.rs
@@ -127,16 +127,35 @@
         entry.is_some_and(|entry| entry.sole.is_some())
     }
 
-    /// Version that serves. `excluded`: version that does not, since it is on trial or rejected.
-    pub(in crate::gateway) fn version(
+    /// Notes that several versions or none are registered.
+    pub(in crate::gateway) fn observe_no_sole(&mut self, service: &ServiceName) {
+        if let Some(entry) = self.services.get_mut(service) {
+            entry.sole = None;
+        }
+    }
+
+    /// Records a guess, unless the version that serves is known.
+    pub(in crate::gateway) fn guess(
         &mut self,
         now: Timestamp,
         service: &ServiceName,
+        version: &ServerVersion,
+    ) {
+        let known = self.services.get(service);
+        if known.is_none_or(|entry| !entry.certain && entry.version != *version) {
+            self.insert(now, service, version, false);
+        }
+    }
+
+    /// Version that serves, as known or else that of most servers. `excluded`: version that does not,
+    /// since it is on trial or rejected.
+    pub(in crate::gateway) fn version(
+        &self,
+        service: &ServiceName,
         counts: &VersionCounts,
         excluded: Option<&ServerVersion>,
     ) -> Option<ServerVersion> {
-        let known = self.services.get(service);
-        let known = known.map(|entry| &entry.version);
+        let known = self.services.get(service).map(|entry| &entry.version);
         if let Some(known) = known.filter(|version| Some(*version) != excluded) {
             return Some(known.clone());
         }
@@ -144,10 +163,7 @@
             .iter()
             .filter(|(version, _)| Some(*version) != excluded);
         // The first of several with most servers, so that all nodes take the same.
-        let guess = others.rev().max_by_key(|(_, servers)| **servers)?.0;
-        if known.is_none() {
-            self.insert(now, service, guess, false);
-        }
-        Some(guess.clone())
+        let (most, _) = others.rev().max_by_key(|(_, servers)| **servers)?;
+        Some(most.clone())
     }
 }
--- a/crates/thornbridge-core/src/gateway/rollouts/messages.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/messages.rs
@@ -149,10 +149,7 @@
             }
         }
         self.servers_changed(context, told);
-        let changed = self
-            .orders
-            .merge(context.now, &received.orders, received.at);
-        self.orders_changed(context, changed);
+        self.merge_orders(context, &received.orders, received.at);
         if self.orders.is_later_than(&received.orders, received.at) {
             self.send_orders(context, from);
         }
--- a/crates/thornbridge-core/src/gateway/rollouts/roles.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/roles.rs
@@ -26,6 +26,14 @@
         }
     }
 
+    /// Updates the roles of all services.
+    pub(super) fn refresh_all_roles(&mut self, context: &mut Context<'_>) {
+        let services: Vec<ServiceName> = context.servers.service_names().cloned().collect();
+        for service in services {
+            self.refresh_roles(context, &service);
+        }
+    }
+
     /// Updates the roles where they may change with time or with servers that left.
     pub(in crate::gateway) fn maintain(&mut self, context: &mut Context<'_>) {
         for service in self.watched.clone() {
@@ -39,8 +47,15 @@
         };
         let mut counts = context.servers.versions_of(key);
         counts.remove(&ServerVersion::default());
-        self.observe(context.now, service, &counts);
+        // A version that is on trial must not be taken for the one that serves.
+        let knows_orders = self.orders.at().is_some();
+        if knows_orders {
+            self.observe(context.now, service, &counts);
+        }
         let roles = self.derive_roles(context.now, service, &counts);
+        if let Some(version) = roles.established.as_ref().filter(|_| knows_orders) {
+            self.established.guess(context.now, service, version);
+        }
         let current = self.roles.get(&key).cloned().unwrap_or_default();
         if roles == current {
             return;
@@ -57,8 +72,9 @@
         let target = self.orders.get(service).map(|order| &order.id.target);
         let completed = self.outcome(service) == Some(RolloutState::Complete);
         let sole = counts.keys().next().filter(|_| counts.len() == 1);
-        if let Some(sole) = sole.filter(|sole| completed || Some(*sole) != target) {
-            self.established.observe_sole(now, service, sole);
+        match sole.filter(|sole| completed || Some(*sole) != target) {
+            Some(sole) => self.established.observe_sole(now, service, sole),
+            None => self.established.observe_no_sole(service),
         }
         self.established.confirm_guess(now, service);
         let watched = counts.len() > 1 || self.established.is_being_replaced(service);
@@ -69,19 +85,19 @@
     }
 
     fn derive_roles(
-        &mut self,
+        &self,
         now: Timestamp,
         service: &ServiceName,
         counts: &VersionCounts,
     ) -> VersionRoles {
-        let Some(order) = self.orders.get(service).cloned() else {
-            return self.roles_without_order(now, service, counts);
+        let Some(order) = self.orders.get(service) else {
+            return self.roles_without_order(service, counts);
         };
         let target = &order.id.target;
         match self.outcome(service) {
             Some(RolloutState::Complete) => only_serving(target),
             Some(RolloutState::RolledBack) => VersionRoles {
-                established: self.established.version(now, service, counts, Some(target)),
+                established: self.established.version(service, counts, Some(target)),
                 rejected: Some(target.clone()),
                 ..VersionRoles::default()
             },
@@ -91,27 +107,22 @@
             {
                 only_serving(target)
             }
-            Some(RolloutState::Serving) | None => self.trial_roles(now, &order, counts),
+            Some(RolloutState::Serving) | None => self.trial_roles(now, order, counts),
         }
     }
 
-    fn roles_without_order(
-        &mut self,
-        now: Timestamp,
-        service: &ServiceName,
-        counts: &VersionCounts,
-    ) -> VersionRoles {
+    fn roles_without_order(&self, service: &ServiceName, counts: &VersionCounts) -> VersionRoles {
         if counts.len() <= 1 {
             return VersionRoles::default();
         }
         VersionRoles {
-            established: self.established.version(now, service, counts, None),
+            established: self.established.version(service, counts, None),
             ..VersionRoles::default()
         }
     }
 
     fn trial_roles(
-        &mut self,
+        &self,
         now: Timestamp,
         order: &KnownOrder,
         counts: &VersionCounts,
@@ -120,7 +131,7 @@
             service, target, ..
         } = &order.id;
         VersionRoles {
-            established: self.established.version(now, service, counts, Some(target)),
+            established: self.established.version(service, counts, Some(target)),
             trial: Some(target.clone()),
             rejected: None,
             warms_trial: now >= order.share_over_at(WARM_UP_SHARE),
--- a/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
@@ -27,8 +27,8 @@
 const RANK_DELAY: Duration = Duration::from_millis(500);
 /// Time for which a member counts as reporting to this node.
 const REPORTER_MEMORY: Duration = Duration::from_secs(5);
-/// Time for which this node counts as conductor after a report.
-const ASKED_MEMORY: Duration = Duration::from_secs(2);
+/// Time for which a conductor counts as informed after a report.
+const INFORMED_FOR: Duration = Duration::from_secs(2);
 /// Members by rank that are told of a decision even if they do not report.
 const SUCCESSORS_TOLD: usize = 4;
 /// Time after the start of conducting in which the counts of all nodes arrive.
@@ -134,7 +134,7 @@
     /// Adopts the decision of this node's conductor.
     pub(in crate::gateway) fn decide(&mut self, now: Timestamp, decision: &Decision) {
         let is_undecided = decision.reason == DecisionReason::Undecided;
-        let origin = match self.is_asked(now) && !is_undecided {
+        let origin = match self.is_informed(now) && !is_undecided {
             true => DecisionOrigin::Own,
             false => DecisionOrigin::Blind,
         };
@@ -148,10 +148,11 @@
     pub(in crate::gateway) fn learn(&mut self, now: Timestamp, state: RolloutState) -> bool {
         let is_news = match &self.decision {
             None => state.is_final(),
-            Some(known) => {
-                let learnt = known.origin == DecisionOrigin::Learnt;
-                learnt && state > known.state
-            }
+            Some(known) => match known.origin {
+                DecisionOrigin::Own => false,
+                DecisionOrigin::Blind => state != known.state,
+                DecisionOrigin::Learnt => state > known.state,
+            },
         };
         if is_news {
             self.set_decision(now, state, DecisionOrigin::Learnt);
@@ -179,27 +180,17 @@
             return None;
         }
         if let Some(decision) = &self.decision {
-            let at = decision.at + self.write_delay(now, decision, rank);
+            let at = decision.at + write_delay(decision, rank);
             return Some((decision.state, at));
         }
         let starts = self.conductor.is_some() && order.reached.is_none();
         starts.then_some((RolloutState::Serving, now))
     }
 
-    fn write_delay(&self, now: Timestamp, decision: &KnownDecision, rank: usize) -> Duration {
-        match (decision.origin, decision.state) {
-            (DecisionOrigin::Own, RolloutState::Complete) => MOVING,
-            (DecisionOrigin::Own, _) => Duration::ZERO,
-            (DecisionOrigin::Blind, _) => BLIND_DELAY,
-            (DecisionOrigin::Learnt, _) if self.is_asked(now) => UNWRITTEN,
-            (DecisionOrigin::Learnt, _) => UNWRITTEN + delay_of_rank(rank),
-        }
-    }
-
     /// Whether a node reported here lately.
-    fn is_asked(&self, now: Timestamp) -> bool {
+    fn is_informed(&self, now: Timestamp) -> bool {
         let mut reports = self.reporters.values();
-        reports.any(|at| now.since(*at) < ASKED_MEMORY)
+        reports.any(|at| now.since(*at) < INFORMED_FOR)
     }
 
     /// Next time at which something is due, later than now.
@@ -224,6 +215,16 @@
     }
 }
 
+/// Time from a decision to its write by the member of a rank.
+fn write_delay(decision: &KnownDecision, rank: usize) -> Duration {
+    match (decision.origin, decision.state) {
+        (DecisionOrigin::Own, RolloutState::Complete) => MOVING,
+        (DecisionOrigin::Own, _) => Duration::ZERO,
+        (DecisionOrigin::Blind, _) => BLIND_DELAY,
+        (DecisionOrigin::Learnt, _) => UNWRITTEN + delay_of_rank(rank),
+    }
+}
+
 fn delay_of_rank(rank: usize) -> Duration {
     RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX)
 }
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -144,6 +144,11 @@
         self.service_names.get(name).copied()
     }
 
+    /// Names of all services.
+    pub(super) fn service_names(&self) -> impl Iterator<Item = &ServiceName> {
+        self.service_names.keys()
+    }
+
     pub(super) fn service_name(&self, key: ServiceKey) -> Option<&ServiceName> {
         self.services.get(key.0 as usize)?.name.as_ref()
     }
--- a/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
-use thornbridge_proto::peer::rollout::RolloutState;
+use thornbridge_proto::peer::rollout::{RolloutGrant, RolloutMessage, RolloutState};
 use thornbridge_proto::peer::view::StoreRevision;
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 use thornbridge_proto::{NodeId, NodeName, RegionName, ServerVersion, ServiceName, ZoneName};
@@ -56,6 +56,23 @@
     roles.role_of(&ServerVersion::new(of))
 }
 
+/// Grant that tells a node of another node's decision.
+pub fn grant_event(
+    cluster: &Cluster,
+    node: usize,
+    from: usize,
+    decision: Option<RolloutState>,
+) -> GatewayEvent {
+    let grant = RolloutGrant {
+        decision,
+        ..cluster.empty_grant(node)
+    };
+    GatewayEvent::PeerMessage {
+        from: endpoint(from),
+        message: PeerMessage::Rollout(RolloutMessage::Grant(grant)),
+    }
+}
+
 /// Watch without a result yet.
 struct Watch {
     node: usize,
@@ -291,6 +308,10 @@
         };
         let done = matches!(result, Ok(StateWriteReply::Written(_)));
         self.store.writes.push(StoreWrite { node, state, done });
+        if done && self.store.results_to_drop > 0 {
+            self.store.results_to_drop -= 1;
+            return;
+        }
         let is_lost = done && self.store.answers_to_lose > 0;
         let result = match is_lost {
             true => {
@@ -348,6 +369,20 @@
         }
     }
 
+    /// Grant without permits and decision for the order that a node knows.
+    pub fn empty_grant(&self, node: usize) -> RolloutGrant {
+        let orders = &self.nodes[node].rollouts.orders;
+        let order = orders.get(&ServiceName::new("s")).expect("no order");
+        RolloutGrant {
+            order: order.id.clone(),
+            conducts: true,
+            decision: None,
+            permits: Vec::new(),
+            valid_ms: 0,
+            instance: None,
+        }
+    }
+
     /// Nodes by their rank as conductor of a service, the first one first.
     pub fn ranking(&self, service: &str) -> Vec<usize> {
         let hash = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
--- a/crates/thornbridge-core/src/gateway/tests/rollout_failures.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_failures.rs
@@ -1,7 +1,10 @@
 //! Roll-outs under failures of nodes and of the store.
 
-use super::rollout_cluster::{BAD, Cluster, GOOD, STABLE, ordered, rejected_roles, trial_roles};
+use super::rollout_cluster::{
+    BAD, Cluster, GOOD, STABLE, grant_event, ordered, rejected_roles, role_at, trial_roles,
+};
 use super::support::millis;
+use crate::gateway::servers::VersionRole;
 use thornbridge_proto::peer::rollout::RolloutState;
 
 #[test]
@@ -178,7 +181,7 @@
 fn successor_collects_the_counts_of_all_nodes_before_it_decides() {
     let mut cluster = ordered();
     let ranking = cluster.ranking("s");
-    cluster.run_with_traffic(millis(8_750), "s", [0, 0], STABLE);
+    cluster.run_with_traffic(millis(9_000), "s", [0, 0], STABLE);
     cluster.down.insert(ranking[0]);
     cluster.record(ranking[1], "s", [6, 0], STABLE);
     cluster.record(ranking[2], "s", [6, 0], STABLE);
@@ -191,10 +194,14 @@
     let mut cluster = ordered();
     let ranking = cluster.ranking("s");
     cluster.store.refused_writers.extend(0..3);
-    for _ in 0..8 {
-        cluster.record(ranking[0], "s", [0, 10], STABLE);
-        cluster.run(millis(250));
+    cluster.record(ranking[0], "s", [0, 50], STABLE);
+    for _ in 0..100 {
+        cluster.run(millis(5));
+        if cluster.roles(ranking[0], "s") == rejected_roles() {
+            break;
+        }
     }
+    cluster.run(millis(20));
     assert_eq!(cluster.roles(ranking[1], "s"), rejected_roles());
 }
 
@@ -224,3 +231,72 @@
     cluster.run(millis(3_000));
     assert_eq!(cluster.store.state("s"), Some(RolloutState::RolledBack));
 }
+
+#[test]
+fn write_whose_result_is_never_reported_is_repeated() {
+    let mut cluster = ordered();
+    cluster.store.results_to_drop = 1;
+    cluster.run_with_traffic(millis(1_000), "s", [0, 10], STABLE);
+    assert_eq!(cluster.store.results_to_drop, 0);
+    cluster.run(millis(3_000));
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::RolledBack));
+}
+
+#[test]
+fn final_state_found_by_a_conflicting_write_is_adopted() {
+    let mut cluster = ordered();
+    cluster.store.hides_changes = true;
+    cluster.store.set_state("s", RolloutState::Complete);
+    cluster.run_with_traffic(millis(2_000), "s", [0, 10], STABLE);
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::Complete));
+    for node in 0..3 {
+        assert_eq!(role_at(&cluster, node, "s", "new"), VersionRole::Serving);
+    }
+}
+
+#[test]
+fn change_of_the_object_does_not_keep_a_decision_from_being_written() {
+    let mut cluster = ordered();
+    cluster.store.hides_changes = true;
+    cluster.store.set_state("s", RolloutState::Serving);
+    cluster.run_with_traffic(millis(2_000), "s", [0, 10], STABLE);
+    assert_eq!(cluster.store.state("s"), Some(RolloutState::RolledBack));
+}
+
+#[test]
+fn writes_that_are_refused_are_repeated_with_pauses() {
+    let mut cluster = ordered();
+    cluster.store.refused_writers.extend(0..3);
+    let before = cluster.store.writes.len();
+    cluster.run_with_traffic(millis(5_000), "s", [0, 10], STABLE);
+    let writes = cluster.store.writes.len() - before;
+    assert!((3..=20).contains(&writes), "{writes} writes in 5 s");
+}
+
+#[test]
+fn decision_of_a_conductor_that_knows_little_yields_to_another() {
+    let mut cluster = ordered();
+    let ranking = cluster.ranking("s");
+    let (conductor, other) = (ranking[0], ranking[1]);
+    cluster.store.refused_writers.extend(0..3);
+    cluster.run(millis(10_500));
+    assert_eq!(cluster.roles(conductor, "s"), rejected_roles());
+    let decision = Some(RolloutState::Complete);
+    let event = grant_event(&cluster, conductor, other, decision);
+    let gateway = &mut cluster.nodes[conductor];
+    gateway.handle(gateway.now, event);
+    let role = role_at(&cluster, conductor, "s", "new");
+    assert_eq!(role, VersionRole::Serving);
+}
+
+#[test]
+fn decision_of_a_conductor_that_knows_little_is_not_told() {
+    let mut cluster = ordered();
+    let ranking = cluster.ranking("s");
+    cluster.store.refused_writers.extend(0..3);
+    cluster.run(millis(9_800));
+    cluster.record(ranking[1], "s", [0, 0], [1, 0]);
+    cluster.run(millis(500));
+    assert_eq!(cluster.roles(ranking[0], "s"), rejected_roles());
+    assert_eq!(cluster.roles(ranking[1], "s").rejected, None);
+}
--- a/crates/thornbridge-core/src/gateway/tests/rollout_peers.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_peers.rs
@@ -7,25 +7,16 @@
 use thornbridge_config::routes::Repeatability;
 use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::quarantine::{CrashRecord, QuarantineMessage};
-use thornbridge_proto::peer::rollout::{RolloutGrant, RolloutMessage, RolloutOrders, RolloutState};
+use thornbridge_proto::peer::rollout::{RolloutMessage, RolloutOrders, RolloutState};
 use thornbridge_proto::peer::view::{InstanceState, StoreRevision};
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 use thornbridge_proto::{NodeId, ServiceName};
 
 /// Grant of five permits for the order that a node knows.
-fn grant_event(cluster: &Cluster, node: usize, from: usize, valid_ms: u32) -> GatewayEvent {
-    let order = cluster.nodes[node]
-        .rollouts
-        .orders
-        .get(&ServiceName::new("s"));
-    let grant = RolloutGrant {
-        order: order.expect("no order").id.clone(),
-        conducts: true,
-        decision: None,
-        permits: vec![("route".to_owned(), 5)],
-        valid_ms,
-        instance: None,
-    };
+fn permits_event(cluster: &Cluster, node: usize, from: usize, valid_ms: u32) -> GatewayEvent {
+    let mut grant = cluster.empty_grant(node);
+    grant.permits = vec![("route".to_owned(), 5)];
+    grant.valid_ms = valid_ms;
     GatewayEvent::PeerMessage {
         from: endpoint(from),
         message: PeerMessage::Rollout(RolloutMessage::Grant(grant)),
@@ -138,7 +129,7 @@
     let mut cluster = ordered();
     let stranger = cluster.ranking("s")[2];
     let node = cluster.ranking("s")[1];
-    let event = grant_event(&cluster, node, stranger, 1_000);
+    let event = permits_event(&cluster, node, stranger, 1_000);
     let now = cluster.nodes[node].now;
     let gateway = &mut cluster.nodes[node];
     gateway.handle(now, event);
@@ -191,7 +182,7 @@
     cluster.down.insert(conductor);
     cluster.record(node, "s", [0, 0], [1, 0]);
     cluster.run(millis(300));
-    let event = grant_event(&cluster, node, conductor, 1_000);
+    let event = permits_event(&cluster, node, conductor, 1_000);
     let now = cluster.nodes[node].now;
     let gateway = &mut cluster.nodes[node];
     gateway.handle(now, event);
@@ -210,7 +201,7 @@
     cluster.down.insert(conductor);
     cluster.record(node, "s", [0, 0], [1, 0]);
     cluster.run(millis(500));
-    let event = grant_event(&cluster, node, conductor, 100);
+    let event = permits_event(&cluster, node, conductor, 100);
     let now = cluster.nodes[node].now;
     let gateway = &mut cluster.nodes[node];
     gateway.handle(now, event);
--- a/crates/thornbridge-core/src/gateway/tests/rollout_store.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_store.rs
@@ -40,6 +40,10 @@
     pub refused_writers: BTreeSet<usize>,
     /// Number of next writes that are done without an answer.
     pub answers_to_lose: u32,
+    /// Number of next writes that are done and whose result is never reported.
+    pub results_to_drop: u32,
+    /// Whether watches return no changes.
+    pub hides_changes: bool,
     /// Writes, in order.
     pub writes: Vec<StoreWrite>,
 }
@@ -80,6 +84,15 @@
         self.withdrawn.push((revision, ServiceName::new(service)));
     }
 
+    /// Writes a state as another writer.
+    pub fn set_state(&mut self, service: &str, state: RolloutState) {
+        let revision = self.next_revision();
+        if let Some(object) = self.objects.get_mut(&ServiceName::new(service)) {
+            object.revision = revision;
+            object.state = Some(state);
+        }
+    }
+
     pub fn state(&self, service: &str) -> Option<RolloutState> {
         self.objects.get(&ServiceName::new(service))?.state
     }
@@ -183,7 +196,8 @@
             false => Vec::new(),
         };
         let at = self.at();
-        (!is_same_era || !objects.is_empty()).then_some(SourceReply::Changes { objects, at })
+        let has_news = !is_same_era || !objects.is_empty();
+        (has_news && !self.hides_changes).then_some(SourceReply::Changes { objects, at })
     }
 
     pub fn write(
--- a/crates/thornbridge-core/src/gateway/tests/rollouts.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollouts.rs
@@ -237,3 +237,15 @@
     assert_eq!(role_at(&cluster, 0, "s", "old"), VersionRole::Serving);
     assert_eq!(role_at(&cluster, 0, "s", "new"), VersionRole::Held);
 }
+
+#[test]
+fn ordered_version_without_any_other_server_is_not_taken_for_the_established_one() {
+    let mut cluster = Cluster::with_enabled(1, true);
+    cluster.store.order("s", "new");
+    cluster.store.register("s-1", "s", "new");
+    cluster.run(millis(1_000));
+    assert_eq!(role_at(&cluster, 0, "s", "new"), VersionRole::Trial);
+    cluster.store.register("s-2", "s", "old");
+    cluster.run(millis(1_000));
+    assert_eq!(cluster.roles(0, "s"), trial_roles());
+}
