Soak test of the control of roll-outs

Five nodes, random kills, freezes, isolation, refused writes, lost answers and restarts for ten seconds, then calm: the slack is claimed at most once, a bad version never completes, the final state is written once, all nodes agree with the store.

--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -20,6 +20,7 @@
 mod rollout_cluster;
 mod rollout_failures;
 mod rollout_peers;
+mod rollout_soak;
 mod rollout_store;
 mod rollouts;
 mod routing;
--- a/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
@@ -97,8 +97,8 @@
     now: Timestamp,
     events: Vec<(usize, GatewayEvent)>,
     watches: Vec<Watch>,
-    /// Restarts of all nodes so far.
-    runs: u64,
+    /// Restarts so far, by node.
+    runs: BTreeMap<usize, u64>,
 }
 
 /// Endpoint of the first run of a node.
@@ -137,7 +137,7 @@
             now: Timestamp::ZERO,
             events: Vec::new(),
             watches: Vec::new(),
-            runs: 0,
+            runs: BTreeMap::new(),
         };
         for _ in 0..nodes {
             cluster.add_node(enabled);
@@ -153,23 +153,29 @@
         self.events.push((index, GatewayEvent::Started));
     }
 
-    /// Kills all nodes and starts them again, as other runs.
+    /// Kills all nodes and starts them again.
     pub fn restart_all(&mut self) {
-        self.events.clear();
-        self.watches.clear();
-        self.runs += 1;
         for index in 0..self.nodes.len() {
-            let endpoint = self.endpoint(index);
-            self.nodes[index] = new_gateway(index, endpoint, true);
-            self.events.push((index, GatewayEvent::Started));
+            self.restart(index);
         }
     }
 
+    /// Kills a node and starts it again, as another run.
+    pub fn restart(&mut self, index: usize) {
+        self.events.retain(|(node, _)| *node != index);
+        self.watches.retain(|watch| watch.node != index);
+        *self.runs.entry(index).or_default() += 1;
+        let endpoint = self.endpoint(index);
+        self.nodes[index] = new_gateway(index, endpoint, true);
+        self.events.push((index, GatewayEvent::Started));
+    }
+
     /// Endpoint of the current run of a node.
     fn endpoint(&self, node: usize) -> PeerEndpoint {
         let first = endpoint(node);
+        let run = self.runs.get(&node).copied().unwrap_or_default();
         PeerEndpoint {
-            node: NodeId(first.node.0 + 100 * self.runs),
+            node: NodeId(first.node.0 + 100 * run),
             ..first
         }
     }
