--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -30,6 +30,7 @@
 mod peer_messages;
 mod pending;
 mod quarantine;
+mod rollout_updates;
 #[allow(dead_code)]
 mod rollouts;
 mod routes;
@@ -57,6 +58,7 @@
     BudgetParameters, ExchangeParameters, GatewayParameters, QuarantineParameters,
     RolloutParameters, ServerParameters, SliceParameters, ViewParameters,
 };
+pub use rollouts::telemetry::{RolloutChange, RolloutStep};
 pub use servers::Placement;
 pub use telemetry::{
     AttemptCause, AttemptOutcome, AttemptSummary, GatewayChange, RequestSummary, SliceOutcome,
@@ -74,6 +76,8 @@
 use quarantine::Quarantine;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rollout_updates::order_reader_parameters;
+use rollouts::Rollouts;
 use rollouts::trials::Trials;
 use routes::RouteTable;
 use servers::Servers;
@@ -123,6 +127,7 @@
     configuration_source: SourceReader,
     registry_source: SourceReader,
     evacuation_source: SourceReader,
+    rollout_source: SourceReader,
     view_gossip: ViewGossip,
     registry: Registry,
     evacuations: Evacuations,
@@ -133,6 +138,7 @@
     budget: ExtraAttemptBudget,
     exchanges: Exchanges,
     quarantine: Quarantine,
+    rollouts: Rollouts,
     trials: Trials,
     slices: Slices,
     own_address: SocketAddr,
@@ -183,6 +189,8 @@
             registry_source: SourceReader::new(ViewKind::Registry, views.clone()).follow_peers(),
             evacuation_source: SourceReader::new(ViewKind::Evacuations, views.clone())
                 .follow_peers(),
+            rollout_source: SourceReader::new(ViewKind::Rollouts, order_reader_parameters(views))
+                .follow_peers(),
             view_gossip: ViewGossip::new(views.clone()),
             registry: Registry::default(),
             evacuations: Evacuations::default(),
@@ -206,6 +214,7 @@
             budget: ExtraAttemptBudget::new(parameters.budget.clone(), has_other_seeds, setup.seed),
             exchanges: Exchanges::new(parameters.exchange.clone()),
             quarantine: Quarantine::new(parameters.quarantine.clone()),
+            rollouts: Rollouts::new(parameters.rollouts.clone(), own_address),
             trials: Trials::default(),
             pending: PendingRequests::default(),
             freshness: Freshness::new(parameters.views.staleness_limit),
