A write to the store opens a connection of its own

Cause: a write reused the connection of the one before. Writes are seconds apart, and the store may have lost the connection meanwhile: the write then waits for its timeout, and it may be the one that completes a roll-out near its deadline.

Change: only views keep connections; a write connects and closes.

--- a/crates/thornbridge-node/src/gateway/store.rs
+++ b/crates/thornbridge-node/src/gateway/store.rs
@@ -1,4 +1,5 @@
-//! Client of the platform's store. Keeps one idle connection for each view, and one for writes.
+//! Client of the platform's store. Keeps one idle connection for each view; a write opens its own,
+//! since one kept from an earlier write may be dead, which would cost the write its timeout.
 
 use crate::sockets;
 use bytes::Bytes;
@@ -21,6 +22,8 @@
 
 /// Time for the store to acknowledge sent bytes before the connection is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
+/// Label of writes in logs, beside those of views.
+const WRITES: &str = "rollout_states";
 
 /// Conditional write of a roll-out's state.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -61,30 +64,14 @@
     ) -> Result<StateWriteReply, SourceFailure>;
 }
 
-/// What a connection is used for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Purpose {
-    Read(ViewKind),
-    Write,
-}
-
-impl Purpose {
-    fn as_str(self) -> &'static str {
-        match self {
-            Self::Read(kind) => kind.as_str(),
-            Self::Write => "rollout states",
-        }
-    }
-}
-
 /// Complete response of the store.
 struct StoreResponse {
     status: StatusCode,
     body: Bytes,
-    era: u64,
+    era: ReportedEra,
 }
 
-type IdleConnections = Arc<Mutex<BTreeMap<Purpose, SendRequest<Full<Bytes>>>>>;
+type IdleConnections = Arc<Mutex<BTreeMap<ViewKind, SendRequest<Full<Bytes>>>>>;
 
 /// Client of the store. Clones share connections and era.
 #[derive(Clone)]
@@ -141,40 +128,42 @@
         kind: ViewKind,
         query: &SourceRead,
     ) -> Result<SourceReply, SourceFailure> {
+        let mut sender = match self.take_idle(kind) {
+            Some(sender) => sender,
+            None => self.connect().await?,
+        };
         let request = self.protocol.request(kind, query);
-        let response = self.exchange(Purpose::Read(kind), request).await?;
-        let StoreResponse { status, body, era } = response;
+        let response = self.exchange(&mut sender, request).await?;
+        // Keep the connection only after a complete response: after a timeout, it may be dead.
+        self.put_idle(kind, sender);
+        let era = self.observe_era(kind.as_str(), &response.era)?;
+        let StoreResponse { status, body, .. } = response;
         let reply = self.protocol.parse_reply(kind, query, status, &body)?;
         Ok(reply.in_era(era))
     }
 
     async fn call_write(&self, write: &StateWrite) -> Result<StateWriteReply, SourceFailure> {
         self.ensure_same_era(write.based_on)?;
+        let mut sender = self.connect().await?;
         let request = self.protocol.write_request(write);
-        let response = self.exchange(Purpose::Write, request).await?;
-        let StoreResponse { status, body, era } = response;
+        let response = self.exchange(&mut sender, request).await?;
+        let era = self.observe_era(WRITES, &response.era)?;
+        let StoreResponse { status, body, .. } = response;
         let reply = self.protocol.parse_write_reply(status, &body)?;
         Ok(reply.in_era(era))
     }
 
     async fn exchange(
         &self,
-        purpose: Purpose,
+        sender: &mut SendRequest<Full<Bytes>>,
         request: Request<Full<Bytes>>,
     ) -> Result<StoreResponse, SourceFailure> {
-        let mut sender = match self.take_idle(purpose) {
-            Some(sender) => sender,
-            None => self.connect().await?,
-        };
         let response = sender.send_request(request).await;
         let response = response.map_err(|_| SourceFailure::Unreachable)?;
         let status = response.status();
-        let reported = self.protocol.parse_era(response.headers());
+        let era = self.protocol.parse_era(response.headers());
         let body = response.into_body().collect().await;
         let body = body.map_err(|_| SourceFailure::Unreachable)?.to_bytes();
-        // Keep the connection only after a complete response: after a timeout, it may be dead.
-        self.put_idle(purpose, sender);
-        let era = self.observe_era(purpose, &reported)?;
         Ok(StoreResponse { status, body, era })
     }
 
@@ -188,13 +177,13 @@
     }
 
     /// Returns the era that a response belongs to; fails for one older than the current era.
-    fn observe_era(&self, purpose: Purpose, reported: &ReportedEra) -> Result<u64, SourceFailure> {
+    fn observe_era(&self, view: &str, reported: &ReportedEra) -> Result<u64, SourceFailure> {
         let mut tracker = self.era.lock().unwrap_or_else(PoisonError::into_inner);
         match tracker.observe(reported) {
             Ok((era, believed)) => {
                 if !believed {
                     log::warn!(
-                        view = purpose.as_str(),
+                        view,
                         told:? = reported,
                         era = era;
                         "store era ignored"
@@ -203,7 +192,7 @@
                 Ok(era)
             }
             Err(stale) => {
-                log::warn!(view = purpose.as_str(), error:% = stale; "store answer dropped");
+                log::warn!(view, error:% = stale; "store answer dropped");
                 Err(SourceFailure::StaleEra)
             }
         }
@@ -222,13 +211,13 @@
         Ok(sender)
     }
 
-    fn take_idle(&self, purpose: Purpose) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, kind: ViewKind) -> Option<SendRequest<Full<Bytes>>> {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&purpose).filter(|sender| !sender.is_closed())
+        idle.remove(&kind).filter(|sender| !sender.is_closed())
     }
 
-    fn put_idle(&self, purpose: Purpose, sender: SendRequest<Full<Bytes>>) {
+    fn put_idle(&self, kind: ViewKind, sender: SendRequest<Full<Bytes>>) {
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.insert(purpose, sender);
+        idle.insert(kind, sender);
     }
 }
