--- a/crates/thornbridge-proto/src/peer/packed_registry.rs
+++ b/crates/thornbridge-proto/src/peer/packed_registry.rs
@@ -2,7 +2,7 @@
 
 use super::packed_versions::{self, MalformedVersions};
 use super::view::{Instance, InstanceState, RegistryDelta, StoreRevision};
-use crate::{BackEndId, ServerVersion, ServiceName, ZoneName};
+use crate::{BackEndId, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use snafu::{OptionExt, Snafu};
 use std::collections::BTreeMap;
@@ -87,26 +87,25 @@
     fn from(delta: RegistryDelta) -> Self {
         let mut services = Names::new();
         let mut zones = Names::new();
-        let versions: Vec<ServerVersion> = delta
-            .present
-            .iter()
-            .map(|(_, instance)| instance.version.clone())
-            .collect();
+        let mut versions = Vec::with_capacity(delta.present.len());
         let present = delta.present.into_iter();
-        let present = present.map(|(revision, instance)| PackedInstance {
-            revision,
-            id: instance.id,
-            born_ms: instance.born_ms,
-            service: services.index_of(instance.service),
-            address: instance.address,
-            zone: zones.index_of(instance.zone),
-            slots: instance.slots,
-            state: instance.state,
-            cold_milliseconds: instance.cold_milliseconds,
+        let present = present.map(|(revision, instance)| {
+            versions.push(instance.version);
+            PackedInstance {
+                revision,
+                id: instance.id,
+                born_ms: instance.born_ms,
+                service: services.index_of(instance.service),
+                address: instance.address,
+                zone: zones.index_of(instance.zone),
+                slots: instance.slots,
+                state: instance.state,
+                cold_milliseconds: instance.cold_milliseconds,
+            }
         });
         let present = present.collect();
         let mut services = services.into_names();
-        packed_versions::append(&mut services, versions.iter());
+        packed_versions::append(&mut services, &versions);
         Self {
             since: delta.since,
             upto: delta.upto,
--- a/crates/thornbridge-proto/src/peer/packed_versions.rs
+++ b/crates/thornbridge-proto/src/peer/packed_versions.rs
@@ -41,15 +41,13 @@
 }
 
 /// Appends the versions of the entries, in their order, to the names of services.
-pub(super) fn append<'a>(
-    services: &mut Vec<ServiceName>,
-    versions: impl Iterator<Item = &'a ServerVersion> + Clone,
-) {
-    if versions.clone().all(|version| version.as_str().is_empty()) {
+pub(super) fn append(services: &mut Vec<ServiceName>, versions: &[ServerVersion]) {
+    if versions.iter().all(|version| version.as_str().is_empty()) {
         return;
     }
     let mut names = Names::new();
-    let indices = versions.map(|version| names.index_of(version.clone()));
+    let indices = versions.iter();
+    let indices = indices.map(|version| names.index_of(version.clone()));
     let runs = format_runs(indices);
     services.push(ServiceName::new(MARKER));
     let listed = names.into_names().into_iter();
