--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -24,7 +24,6 @@
 pub(super) use queue::QueuedPart;
 pub(super) use server::{Availability, Server};
 pub(super) use subset::MemberLocation;
-#[allow(unused_imports)]
 pub(super) use versions::{VersionRole, VersionRoles};
 
 use super::action::GatewayAction;
--- a/crates/thornbridge-core/src/gateway/tests/trial_outcomes.rs
+++ b/crates/thornbridge-core/src/gateway/tests/trial_outcomes.rs
@@ -19,10 +19,14 @@
 
 /// Trial with observations of the serving version.
 fn observed_trial() -> Harness {
+    trial_with_answers_after(USUAL)
+}
+
+fn trial_with_answers_after(usual: Duration) -> Harness {
     let mut harness = trial();
     for _ in 0..OBSERVED {
         let (_, attempt) = send(&mut harness);
-        harness.advance(USUAL);
+        harness.advance(usual);
         harness.reply(attempt, answer(RECORD));
     }
     harness
@@ -132,6 +136,19 @@
     assert_eq!(report(&mut harness).trial, BAD);
 }
 
+/// Guards against judging a version by callers that leave.
+#[test]
+fn attempt_cancelled_within_usual_time_counts_as_nothing() {
+    let mut harness = trial_with_answers_after(millis(700));
+    let (caller, attempt) = send_trial(&mut harness);
+    harness.event(GatewayEvent::CallerDisconnected { caller });
+    harness.advance(millis(1_000));
+    let connection = harness.sent.iter().find(|sent| sent.attempt == attempt);
+    let connection = connection.map(|sent| sent.connection);
+    assert!(connection.is_some_and(|connection| harness.closed.contains(&connection)));
+    assert_eq!(report(&mut harness).trial, NONE);
+}
+
 #[test]
 fn answer_after_its_request_is_gone_is_counted() {
     let mut harness = observed_trial();
