--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -267,6 +267,7 @@
 
     /// Activates a staged configuration, routes pending requests and updates readiness.
     fn finish_event(&mut self) {
+        self.apply_changed_roles();
         self.update_reader_role();
         if self.staged_is_ready() {
             self.activate_staged();
--- a/crates/thornbridge-core/src/gateway/rollouts/control.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/control.rs
@@ -49,6 +49,8 @@
     pub(super) watched: BTreeSet<ServiceName>,
     /// Roles other than the default.
     pub(super) roles: BTreeMap<ServiceKey, VersionRoles>,
+    /// Services whose roles changed since the last [`Self::take_changed_roles`].
+    pub(super) changed_roles: Vec<ServiceKey>,
     next_report: Timestamp,
     pub(super) next_gossip: Timestamp,
     pub(super) next_write: u64,
@@ -68,6 +70,7 @@
             active: BTreeMap::new(),
             watched: BTreeSet::new(),
             roles: BTreeMap::new(),
+            changed_roles: Vec::new(),
             next_report: Timestamp::ZERO,
             next_gossip: Timestamp::ZERO,
             next_write: 0,
@@ -97,12 +100,19 @@
             context.servers.set_version_roles(*service, roles);
         }
         let members = std::mem::take(&mut self.members);
+        let changed_roles = self.roles.keys().copied().collect();
         *self = Self {
             members,
+            changed_roles,
             ..Self::new(self.parameters.clone(), self.own)
         };
     }
 
+    /// Services whose roles changed, whose queued parts may have to move.
+    pub(in crate::gateway) fn take_changed_roles(&mut self) -> Vec<ServiceKey> {
+        std::mem::take(&mut self.changed_roles)
+    }
+
     /// Replaces the members. `accepting`: those that take new work.
     pub(in crate::gateway) fn set_members(
         &mut self,
--- a/crates/thornbridge-core/src/gateway/rollouts/roles.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/roles.rs
@@ -65,6 +65,7 @@
             false => self.roles.insert(key, roles.clone()),
         };
         context.servers.set_version_roles(key, roles);
+        self.changed_roles.push(key);
     }
 
     /// Notes the version that serves if there is only one.
--- a/crates/thornbridge-core/src/gateway/tests/trial_support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/trial_support.rs
@@ -66,13 +66,20 @@
     route(ROUTE, service(SERVICE), Repeatability::Repeatable)
 }
 
+/// Gateway that keeps the versions of servers, while tests set their roles.
+pub fn keeping_versions() -> Harness {
+    let mut harness = Harness::unconfigured();
+    harness.gateway.parameters.rollouts.enabled = true;
+    harness
+}
+
 /// Gateway with these roles and servers.
 pub fn serving(roles: VersionRoles, servers: &[&str]) -> Harness {
     serving_route(plain_route(), roles, servers)
 }
 
 pub fn serving_route(route: Route, roles: VersionRoles, servers: &[&str]) -> Harness {
-    let mut harness = Harness::unconfigured();
+    let mut harness = keeping_versions();
     load(&mut harness, route, roles, servers);
     harness.advance(millis(5_000));
     harness
@@ -80,7 +87,7 @@
 
 /// Gateway that has no connection yet and holds those that it opens.
 pub fn holding_connects(roles: VersionRoles, servers: &[&str]) -> Harness {
-    let mut harness = Harness::unconfigured();
+    let mut harness = keeping_versions();
     harness.hold_connects();
     load(&mut harness, plain_route(), roles, servers);
     harness
