--- a/crates/thornbridge-core/src/gateway/rollouts/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/mod.rs
@@ -7,4 +7,11 @@
 //! ([`VersionRoles`](super::servers::VersionRoles)).
 
 pub(super) mod conductor;
+mod exposure;
+mod pace;
+mod schedule;
+#[cfg(test)]
+mod tests;
+mod totals;
 pub(super) mod trials;
+mod verdict;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/mod.rs
@@ -0,0 +1,9 @@
+//! Tests of roll-outs.
+
+mod conductor;
+mod decisions;
+mod exposure;
+mod schedule;
+mod simulation;
+mod support;
+mod verdict;
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/simulation.rs
@@ -0,0 +1,269 @@
+//! A roll-out in virtual time: requests at many nodes, one conductor, seeded draws.
+
+use super::support::{ORDERED_AT, PERIOD, new_conductor, node, report};
+use crate::gateway::rollouts::conductor::{Conductor, Decision};
+use crate::time::Timestamp;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+use thornbridge_proto::peer::rollout::{Outcomes, RouteReport};
+
+/// Routes of the service, each with half of the requests.
+pub(super) const ROUTES: [&str; 2] = ["lookup", "sweep"];
+/// Time from the order until the state is written and new servers are warm.
+const WARM_AFTER: Duration = Duration::from_millis(1_000);
+const REPORT_INTERVAL_MS: u64 = 100;
+/// Time from a node's report until it has the permits.
+const GRANT_DELAY: Duration = Duration::from_millis(5);
+const GOOD_ANSWER_MS: std::ops::Range<u64> = 40..120;
+/// A bad answer fails at once or is several times slower.
+const FAILED_ANSWER_MS: u64 = 20;
+const SLOW_ANSWER_MS: std::ops::Range<u64> = 300..500;
+
+/// Version that answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Version {
+    Old,
+    New,
+}
+
+/// Bad share of answers, by version, route and time since the order.
+pub(super) type BadShare = fn(Version, usize, Duration) -> f64;
+
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Scenario {
+    pub(super) rate_per_s: f64,
+    pub(super) nodes: usize,
+    pub(super) bad_share: BadShare,
+}
+
+/// What a run showed.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) decision: Decision,
+    /// Requests sent to the new version until the decision.
+    pub(super) sampled: u32,
+    /// Bad ones among those sent.
+    pub(super) bad: u32,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Request,
+    Answer {
+        node: usize,
+        route: usize,
+        new_version: bool,
+        good: bool,
+    },
+    Report {
+        node: usize,
+    },
+}
+
+#[derive(Clone, Debug, Default)]
+struct RouteCounts {
+    requests: u32,
+    returned: u32,
+    trial: Outcomes,
+    stable: Outcomes,
+    /// Permits: when they become usable and when they lapse.
+    permits: Vec<(Timestamp, Timestamp)>,
+}
+
+impl RouteCounts {
+    fn lapse(&mut self, now: Timestamp) {
+        let held = self.permits.len();
+        self.permits.retain(|(_, until)| now < *until);
+        self.returned += (held - self.permits.len()) as u32;
+    }
+
+    fn take_permit(&mut self, now: Timestamp) -> bool {
+        self.lapse(now);
+        let usable = self.permits.iter().position(|(from, _)| *from <= now);
+        usable.map(|idx| self.permits.swap_remove(idx)).is_some()
+    }
+
+    fn take_report(&mut self, now: Timestamp, route: &str) -> RouteReport {
+        self.lapse(now);
+        RouteReport {
+            route: route.to_owned(),
+            requests: std::mem::take(&mut self.requests),
+            returned: std::mem::take(&mut self.returned),
+            trial: self.trial,
+            stable: self.stable,
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct SimulatedNode {
+    routes: [RouteCounts; ROUTES.len()],
+    next_report: Option<Timestamp>,
+}
+
+struct Simulation {
+    scenario: Scenario,
+    conductor: Conductor,
+    random: Pcg64Mcg,
+    nodes: Vec<SimulatedNode>,
+    events: BinaryHeap<Reverse<(Timestamp, Event)>>,
+    sampled: u32,
+    bad: u32,
+}
+
+/// Runs a roll-out until its decision.
+pub(super) fn run(scenario: Scenario, seed: u64) -> Run {
+    let mut conductor = new_conductor();
+    conductor.set_instances(Vec::new());
+    let mut simulation = Simulation {
+        scenario,
+        conductor,
+        random: Pcg64Mcg::seed_from_u64(seed),
+        nodes: vec![SimulatedNode::default(); scenario.nodes],
+        events: BinaryHeap::new(),
+        sampled: 0,
+        bad: 0,
+    };
+    let decision = simulation.run();
+    Run {
+        decision,
+        sampled: simulation.sampled,
+        bad: simulation.bad,
+    }
+}
+
+impl Simulation {
+    fn run(&mut self) -> Decision {
+        let warm_at = ORDERED_AT + WARM_AFTER;
+        let mut warm = false;
+        self.schedule(ORDERED_AT, Event::Request);
+        while let Some(Reverse((now, event))) = self.events.pop() {
+            if !warm && now >= warm_at {
+                warm = true;
+                self.conductor.add_slack();
+                self.conductor.set_instances(super::support::instances(3));
+            }
+            self.handle(now, event);
+            if let Some(decision) = self.conductor.decide(now) {
+                return decision;
+            }
+            assert!(now < ORDERED_AT + PERIOD, "no decision by the deadline");
+        }
+        unreachable!("requests follow each other")
+    }
+
+    fn schedule(&mut self, at: Timestamp, event: Event) {
+        self.events.push(Reverse((at, event)));
+    }
+
+    fn handle(&mut self, now: Timestamp, event: Event) {
+        match event {
+            Event::Request => self.request(now),
+            Event::Answer {
+                node,
+                route,
+                new_version,
+                good,
+            } => {
+                self.answer(now, node, route, new_version, good);
+            }
+            Event::Report { node } => self.report(now, node),
+        }
+    }
+
+    fn request(&mut self, now: Timestamp) {
+        let draw: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
+        let interval = Duration::from_secs_f64(-draw.ln() / self.scenario.rate_per_s);
+        self.schedule(now + interval, Event::Request);
+        let node = self.random.random_range(0..self.scenario.nodes);
+        let route = self.random.random_range(0..ROUTES.len());
+        let counts = &mut self.nodes[node].routes[route];
+        counts.requests += 1;
+        let new_version = counts.take_permit(now);
+        let version = if new_version {
+            Version::New
+        } else {
+            Version::Old
+        };
+        let bad_share = (self.scenario.bad_share)(version, route, now.since(ORDERED_AT));
+        let good = !self.random.random_bool(bad_share);
+        self.sampled += u32::from(new_version);
+        self.bad += u32::from(new_version && !good);
+        let answered_at = now + self.answer_time(good);
+        self.schedule(
+            answered_at,
+            Event::Answer {
+                node,
+                route,
+                new_version,
+                good,
+            },
+        );
+        self.report_soon(now, node);
+    }
+
+    fn answer_time(&mut self, good: bool) -> Duration {
+        let ms = match good {
+            true => self.random.random_range(GOOD_ANSWER_MS),
+            false if self.random.random_bool(0.5) => FAILED_ANSWER_MS,
+            false => self.random.random_range(SLOW_ANSWER_MS),
+        };
+        Duration::from_millis(ms)
+    }
+
+    fn answer(&mut self, now: Timestamp, node: usize, route: usize, new_version: bool, good: bool) {
+        let counts = &mut self.nodes[node].routes[route];
+        let outcomes = match new_version {
+            true => &mut counts.trial,
+            false => &mut counts.stable,
+        };
+        match good {
+            true => outcomes.good += 1,
+            false => outcomes.bad += 1,
+        }
+        self.report_soon(now, node);
+    }
+
+    /// Plans a report at the node's next interval.
+    fn report_soon(&mut self, now: Timestamp, node: usize) {
+        let interval = Duration::from_millis(REPORT_INTERVAL_MS);
+        let phase = Duration::from_millis(node as u64 * 37 % REPORT_INTERVAL_MS);
+        let passed_us = (now.since(ORDERED_AT + phase)).as_micros() / interval.as_micros();
+        let at = ORDERED_AT + phase + interval * (passed_us as u32 + 1);
+        self.report_at(at, node);
+    }
+
+    fn report_at(&mut self, at: Timestamp, node: usize) {
+        if self.nodes[node].next_report.is_some_and(|next| next <= at) {
+            return;
+        }
+        self.nodes[node].next_report = Some(at);
+        self.schedule(at, Event::Report { node });
+    }
+
+    fn report(&mut self, now: Timestamp, number: usize) {
+        if self.nodes[number].next_report != Some(now) {
+            return;
+        }
+        self.nodes[number].next_report = None;
+        let routes = self.nodes[number].routes.iter_mut().zip(ROUTES);
+        let routes = routes.map(|(counts, route)| counts.take_report(now, route));
+        let routes = report(routes.collect());
+        let permits = self.conductor.handle_report(now, node(number), &routes);
+        let until = now + GRANT_DELAY + permits.valid;
+        for (name, count) in &permits.by_route {
+            let idx = ROUTES.iter().position(|route| route == name);
+            let counts = &mut self.nodes[number].routes[idx.expect("a route of the service")];
+            let permit = (now + GRANT_DELAY, until);
+            counts
+                .permits
+                .extend(std::iter::repeat_n(permit, *count as usize));
+        }
+        if !permits.by_route.is_empty() {
+            self.report_at(until, number);
+        }
+    }
+}
--- /dev/null
+++ b/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
@@ -0,0 +1,240 @@
+//! Sequential test of a version on trial against the version that serves.
+//!
+//! For each route, and for all together, a CUSUM of the log-likelihood ratio of a bad share `p1` against
+//! `p0`, the share seen at the serving version on the same route in the last seconds. Trouble that
+//! strikes both versions raises `p0` and condemns none; a version that turns bad late is found from
+//! where it turned.
+
+use super::totals::ArmOutcomes;
+use crate::gateway::window::SumWindow;
+use crate::time::Timestamp;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use thornbridge_proto::peer::rollout::Outcomes;
+
+/// CUSUM at which a version is condemned, in nats.
+const CONDEMNING_NATS: f64 = 9.0;
+/// CUSUM below which nothing speaks against a version, in nats.
+const INNOCENT_NATS: f64 = CONDEMNING_NATS / 2.0;
+/// Informative answers of the version on trial without which it is not accepted.
+const ANSWERS_MINIMUM: u32 = 8;
+
+/// Least bad share assumed of the serving version.
+const STABLE_SHARE_MINIMUM: f64 = 0.03;
+/// Bad share of the serving version above which answers carry no information.
+const STABLE_SHARE_MAXIMUM: f64 = 0.5;
+/// Least bad share that is looked for.
+const WORSE_SHARE_MINIMUM: f64 = 0.3;
+/// Highest bad share that is looked for.
+const WORSE_SHARE_MAXIMUM: f64 = 0.9;
+/// Bad share that is looked for, as a multiple of that of the serving version.
+const WORSE_FACTOR: f64 = 4.0;
+
+/// Outcomes assumed before any is known.
+const PRIOR_ANSWERS: f64 = 10.0;
+/// Bad ones among [`PRIOR_ANSWERS`].
+const PRIOR_BAD_ANSWERS: f64 = 0.5;
+
+const BUCKET_DURATION: Duration = Duration::from_millis(200);
+/// Window that shows the usual bad share: 4 s.
+const LONG_WINDOW_BUCKETS: u32 = 20;
+/// Window that shows new trouble: 1 s.
+const SHORT_WINDOW_BUCKETS: u32 = 5;
+
+/// Bad share over a sliding window.
+#[derive(Debug)]
+struct ShareWindow {
+    answers: SumWindow,
+    bad: SumWindow,
+}
+
+impl ShareWindow {
+    fn new(buckets: u32) -> Self {
+        Self {
+            answers: SumWindow::new(BUCKET_DURATION, buckets),
+            bad: SumWindow::new(BUCKET_DURATION, buckets),
+        }
+    }
+
+    fn add(&mut self, now: Timestamp, outcomes: Outcomes) {
+        self.answers.add(now, u64::from(outcomes.total()));
+        self.bad.add(now, u64::from(outcomes.bad));
+    }
+
+    fn share(&mut self, now: Timestamp) -> f64 {
+        let answers = self.answers.sum(now) as f64 + PRIOR_ANSWERS;
+        let bad = self.bad.sum(now) as f64 + PRIOR_BAD_ANSWERS;
+        bad / answers
+    }
+}
+
+/// Bad share of the serving version.
+#[derive(Debug)]
+struct StableShare {
+    long: ShareWindow,
+    short: ShareWindow,
+}
+
+impl StableShare {
+    fn new() -> Self {
+        Self {
+            long: ShareWindow::new(LONG_WINDOW_BUCKETS),
+            short: ShareWindow::new(SHORT_WINDOW_BUCKETS),
+        }
+    }
+
+    fn add(&mut self, now: Timestamp, outcomes: Outcomes) {
+        self.long.add(now, outcomes);
+        self.short.add(now, outcomes);
+    }
+
+    fn share(&mut self, now: Timestamp) -> f64 {
+        let seen = self.long.share(now).max(self.short.share(now));
+        seen.max(STABLE_SHARE_MINIMUM)
+    }
+}
+
+/// Log-likelihood ratios of a good and a bad answer, worse against equal, in nats.
+#[derive(Clone, Copy, Debug)]
+struct Evidence {
+    good_nats: f64,
+    bad_nats: f64,
+}
+
+impl Evidence {
+    /// `None` if answers carry no information at this bad share of the serving version.
+    fn against(stable_share: f64) -> Option<Self> {
+        if stable_share > STABLE_SHARE_MAXIMUM {
+            return None;
+        }
+        let worse_share = (WORSE_FACTOR * stable_share)
+            .max(WORSE_SHARE_MINIMUM)
+            .min(WORSE_SHARE_MAXIMUM);
+        Some(Self {
+            good_nats: ((1.0 - worse_share) / (1.0 - stable_share)).ln(),
+            bad_nats: (worse_share / stable_share).ln(),
+        })
+    }
+
+    fn of(self, outcomes: Outcomes) -> f64 {
+        f64::from(outcomes.good) * self.good_nats + f64::from(outcomes.bad) * self.bad_nats
+    }
+}
+
+/// Sum of evidence that starts anew whenever it falls to zero.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cusum {
+    nats: f64,
+}
+
+impl Cusum {
+    fn add(&mut self, nats: f64) {
+        self.nats = (self.nats + nats).max(0.0);
+    }
+}
+
+#[derive(Debug)]
+struct RouteVerdict {
+    cusum: Cusum,
+    stable_share: StableShare,
+    outcomes: ArmOutcomes,
+}
+
+impl RouteVerdict {
+    fn new() -> Self {
+        Self {
+            cusum: Cusum::default(),
+            stable_share: StableShare::new(),
+            outcomes: ArmOutcomes::default(),
+        }
+    }
+}
+
+/// What the outcomes say of the version on trial, should the roll-out end now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Finding {
+    /// It is as good as the serving version.
+    Innocent,
+    /// Too little is known, or something speaks against it.
+    Doubtful,
+}
+
+/// Evidence on the version on trial.
+#[derive(Debug, Default)]
+pub(super) struct Verdict {
+    routes: BTreeMap<String, RouteVerdict>,
+    all: Cusum,
+    outcomes: ArmOutcomes,
+    /// Answers of the version on trial that carried information.
+    informative: u32,
+    /// Route whose evidence condemned the version; empty for all together.
+    condemned_by: Option<String>,
+}
+
+impl Verdict {
+    /// Adds outcomes of a route that became known.
+    pub(super) fn add(&mut self, now: Timestamp, route: &str, outcomes: ArmOutcomes) {
+        let verdict = self
+            .routes
+            .entry(route.to_owned())
+            .or_insert_with(RouteVerdict::new);
+        verdict.outcomes.add(outcomes);
+        verdict.stable_share.add(now, outcomes.stable);
+        self.outcomes.add(outcomes);
+        if outcomes.trial.total() == 0 {
+            return;
+        }
+        let Some(evidence) = Evidence::against(verdict.stable_share.share(now)) else {
+            return;
+        };
+        let nats = evidence.of(outcomes.trial);
+        verdict.cusum.add(nats);
+        self.all.add(nats);
+        self.informative += outcomes.trial.total();
+        let route_nats = verdict.cusum.nats;
+        self.condemn(route, route_nats);
+    }
+
+    /// Route whose evidence condemned the version, empty for all together; `None` if it is not condemned.
+    pub(super) fn condemned_by(&self) -> Option<&str> {
+        self.condemned_by.as_deref()
+    }
+
+    /// Finding as of now.
+    pub(super) fn finding(&self) -> Finding {
+        let routes = self.routes.values().map(|route| route.cusum.nats);
+        let highest_nats = routes.fold(self.all.nats, f64::max);
+        match self.informative >= ANSWERS_MINIMUM && highest_nats < INNOCENT_NATS {
+            true => Finding::Innocent,
+            false => Finding::Doubtful,
+        }
+    }
+
+    /// Outcomes of all routes.
+    pub(super) fn outcomes(&self) -> ArmOutcomes {
+        self.outcomes
+    }
+
+    /// Outcomes of a route; of all routes if it is empty.
+    pub(super) fn outcomes_of(&self, route: &str) -> ArmOutcomes {
+        let of_route = self.routes.get(route).map(|route| route.outcomes);
+        of_route.unwrap_or(self.outcomes)
+    }
+
+    /// Answers of the version on trial on a route.
+    pub(super) fn answers_of(&self, route: &str) -> u32 {
+        let of_route = self.routes.get(route);
+        of_route.map_or(0, |route| route.outcomes.trial.total())
+    }
+
+    fn condemn(&mut self, route: &str, route_nats: f64) {
+        if self.condemned_by.is_some() {
+            return;
+        }
+        if route_nats >= CONDEMNING_NATS {
+            self.condemned_by = Some(route.to_owned());
+        } else if self.all.nats >= CONDEMNING_NATS {
+            self.condemned_by = Some(String::new());
+        }
+    }
+}
