--- a/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
@@ -5,6 +5,7 @@
 
 use super::exposure::Ledger;
 use super::pace::Pace;
+use super::reuse::{LifetimeBounds, Reuse};
 use super::schedule::Schedule;
 use super::totals::{ArmOutcomes, ReportedTotals};
 use super::verdict::{Finding, Verdict};
@@ -15,8 +16,10 @@
 use thornbridge_proto::BackEndId;
 use thornbridge_proto::peer::rollout::{Outcomes, RolloutReport, RolloutState, RouteReport};
 
-/// Time within which a permit must be used.
-const PERMIT_LIFETIME: Duration = Duration::from_secs(1);
+/// Shortest time within which a permit must be used.
+const PERMIT_LIFETIME_MINIMUM: Duration = Duration::from_secs(1);
+/// Longest lifetime of a permit, as a part of the time within which a bad version must be stopped.
+const PERMIT_LIFETIME_SHARE: f64 = 0.6;
 /// Bad answers of the version on trial after which no permits are granted.
 const BAD_ANSWERS_MAXIMUM: u32 = 30;
 /// Shortest time over which the rest of the sample is spread.
@@ -70,6 +73,7 @@
     ledger: Ledger,
     schedule: Schedule,
     pace: Pace,
+    reuse: Reuse,
     totals: ReportedTotals,
     verdict: Verdict,
     /// Servers to sample in turn.
@@ -84,7 +88,8 @@
         Self {
             ledger: Ledger::new(&parameters),
             schedule: Schedule::new(timing),
-            pace: Pace::default(),
+            pace: Pace::new(),
+            reuse: Reuse::new(lifetime_bounds(&parameters)),
             totals: ReportedTotals::default(),
             verdict: Verdict::default(),
             instances: Vec::new(),
@@ -126,7 +131,7 @@
         if self.decide(now).is_some() || !self.may_sample(now) {
             return Permits::default();
         }
-        self.grant(now, &report.routes)
+        self.grant(now, from, &report.routes)
     }
 
     /// The decision, once there is one. It never changes.
@@ -140,10 +145,11 @@
 
     /// When [`Self::decide`] may have a result without a report.
     pub(in crate::gateway) fn next_timeout(&self) -> Option<Timestamp> {
-        match self.decision {
-            Some(_) => None,
-            None => Some(self.decision_due),
+        if self.decision.is_some() {
+            return None;
         }
+        let judgement = self.verdict.next_judgement();
+        Some(judgement.map_or(self.decision_due, |at| at.min(self.decision_due)))
     }
 
     /// Outcomes of the versions so far, all routes together: trial and stable.
@@ -156,21 +162,27 @@
         self.ledger.record_requests(route.requests);
         self.ledger.record_returned(route.returned);
         self.schedule.record_requests(now, route.requests);
-        self.pace.record_returned(route.returned);
+        if route.requests > 0 {
+            self.reuse.record(now, from, &route.route);
+        }
         let outcomes = self.totals.take_new(from, route);
         self.verdict.add(now, &route.route, outcomes);
     }
 
     fn new_decision(&mut self, now: Timestamp) -> Option<Decision> {
-        if let Some(route) = self.verdict.condemned_by() {
-            let route = route.to_owned();
-            return Some(self.decision_of(DecisionReason::Worse, route));
+        self.verdict.judge(now);
+        if let Some(decision) = self.condemnation() {
+            return Some(decision);
         }
         let completion_total = self.ledger.completion_total(self.attempts());
         self.decision_due = self.schedule.decision_due(now, completion_total);
         if now < self.decision_due {
             return None;
         }
+        self.verdict.judge_all(now);
+        if let Some(decision) = self.condemnation() {
+            return Some(decision);
+        }
         let reason = match self.verdict.finding() {
             Finding::Innocent => DecisionReason::NotWorse,
             Finding::Doubtful => DecisionReason::Undecided,
@@ -178,6 +190,11 @@
         Some(self.decision_of(reason, String::new()))
     }
 
+    fn condemnation(&self) -> Option<Decision> {
+        let route = self.verdict.condemned_by()?.to_owned();
+        Some(self.decision_of(DecisionReason::Worse, route))
+    }
+
     fn decision_of(&self, reason: DecisionReason, route: String) -> Decision {
         let ArmOutcomes { trial, stable } = self.verdict.outcomes_of(&route);
         let state = match reason {
@@ -205,19 +222,22 @@
         in_time && bad_answers < BAD_ANSWERS_MAXIMUM && !self.instances.is_empty()
     }
 
-    fn grant(&mut self, now: Timestamp, routes: &[RouteReport]) -> Permits {
+    fn grant(&mut self, now: Timestamp, node: SocketAddr, routes: &[RouteReport]) -> Permits {
+        self.pace.settle(now, self.reuse.used_share());
         let permits_per_s = self.permits_per_s(now);
-        self.pace.advance(now, permits_per_s);
+        self.pace.refill(now, permits_per_s);
         let permits = self.grantable(now);
         let by_route = self.divide(permits, routes);
+        let lifetimes = by_route.iter();
+        let lifetimes = lifetimes.map(|(route, _)| self.reuse.lifetime(node, route));
+        let valid = lifetimes.max().unwrap_or_default();
         for (route, permits) in &by_route {
             self.ledger.record_granted(*permits);
-            self.pace
-                .record_granted(now, PERMIT_LIFETIME, route, *permits);
+            self.pace.record_granted(now + valid, route, *permits);
         }
         Permits {
             by_route,
-            valid: PERMIT_LIFETIME,
+            valid,
             instance: self.instance(now),
         }
     }
@@ -279,6 +299,14 @@
     }
 }
 
+fn lifetime_bounds(parameters: &RolloutParameters) -> LifetimeBounds {
+    let longest = parameters.stop_within.mul_f64(PERMIT_LIFETIME_SHARE);
+    LifetimeBounds {
+        shortest: PERMIT_LIFETIME_MINIMUM,
+        longest: longest.max(PERMIT_LIFETIME_MINIMUM),
+    }
+}
+
 /// Permits of a route while they are divided.
 #[derive(Debug)]
 struct RouteShare<'a> {
--- a/crates/thornbridge-core/src/gateway/rollouts/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/mod.rs
@@ -9,6 +9,7 @@
 pub(super) mod conductor;
 mod exposure;
 mod pace;
+mod reuse;
 mod schedule;
 #[cfg(test)]
 mod tests;
--- a/crates/thornbridge-core/src/gateway/rollouts/pace.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/pace.rs
@@ -1,4 +1,4 @@
-//! Pace of permits: how many are in use, how many will be used, and how many may be granted now.
+//! Pace of permits: how many are outstanding, and how many may be granted now.
 //!
 //! A node with few requests often lets its permit lapse. The pace is therefore kept in permits that are
 //! expected to be used, while the ledger counts every permit in full until it returns.
@@ -11,12 +11,6 @@
 const RETURN_TIME: Duration = Duration::from_millis(500);
 /// Longest time of which unused pace is kept.
 const BURST_TIME: Duration = Duration::from_millis(500);
-/// Least part of the permits that is expected to be used.
-const USED_SHARE_MINIMUM: f64 = 0.05;
-/// Permits assumed settled before any is.
-const PRIOR_SETTLED: f64 = 2.0;
-/// Used ones among [`PRIOR_SETTLED`].
-const PRIOR_USED: f64 = 1.0;
 /// Tolerance of sums of fractions.
 const ROUNDING: f64 = 1e-6;
 
@@ -27,22 +21,35 @@
     permits: u32,
 }
 
-/// Permits in use, and a token bucket for further ones.
-#[derive(Debug, Default)]
+/// Outstanding permits, and a token bucket for further ones.
+#[derive(Debug)]
 pub(super) struct Pace {
     grants: VecDeque<Grant>,
-    outstanding: u32,
-    settled: u64,
-    returned: u64,
+    /// Part of the permits that is expected to be used.
+    used_share: f64,
     /// Permits that may be used now.
     tokens: f64,
     refilled_at: Option<Timestamp>,
 }
 
 impl Pace {
-    /// Settles permits that ended, and refills the bucket.
-    pub(super) fn advance(&mut self, now: Timestamp, permits_per_s: f64) {
-        self.settle(now);
+    pub(super) fn new() -> Self {
+        Self {
+            grants: VecDeque::new(),
+            used_share: 1.0,
+            tokens: 0.0,
+            refilled_at: None,
+        }
+    }
+
+    /// Forgets permits that ended.
+    pub(super) fn settle(&mut self, now: Timestamp, used_share: f64) {
+        self.used_share = used_share;
+        self.grants.retain(|grant| now < grant.settles_at);
+    }
+
+    /// Refills the bucket.
+    pub(super) fn refill(&mut self, now: Timestamp, permits_per_s: f64) {
         let elapsed = self.refilled_at.map_or(BURST_TIME, |at| now.since(at));
         let capacity = (permits_per_s * BURST_TIME.as_secs_f64()).max(1.0);
         let refilled = self.tokens + permits_per_s * elapsed.as_secs_f64();
@@ -50,21 +57,10 @@
         self.refilled_at = Some(now);
     }
 
-    pub(super) fn record_returned(&mut self, permits: u32) {
-        self.returned += u64::from(permits);
-    }
-
-    pub(super) fn record_granted(
-        &mut self,
-        now: Timestamp,
-        valid: Duration,
-        route: &str,
-        permits: u32,
-    ) {
-        self.tokens -= f64::from(permits) * self.used_share();
-        self.outstanding += permits;
+    pub(super) fn record_granted(&mut self, until: Timestamp, route: &str, permits: u32) {
+        self.tokens -= f64::from(permits) * self.used_share;
         self.grants.push_back(Grant {
-            settles_at: now + valid + RETURN_TIME,
+            settles_at: until + RETURN_TIME,
             route: route.to_owned(),
             permits,
         });
@@ -72,12 +68,13 @@
 
     /// Permits that may be granted, if `room` may be used.
     pub(super) fn grantable(&self, room: f64) -> u32 {
-        (room.min(self.tokens) / self.used_share() + ROUNDING).max(0.0) as u32
+        (room.min(self.tokens) / self.used_share + ROUNDING).max(0.0) as u32
     }
 
     /// Outstanding permits that are not expected to be used.
     pub(super) fn expected_returns(&self) -> f64 {
-        f64::from(self.outstanding) * (1.0 - self.used_share())
+        let outstanding: u32 = self.grants.iter().map(|grant| grant.permits).sum();
+        f64::from(outstanding) * (1.0 - self.used_share)
     }
 
     /// Outstanding permits of a route.
@@ -85,19 +82,4 @@
         let of_route = self.grants.iter().filter(|grant| grant.route == route);
         of_route.map(|grant| grant.permits).sum()
     }
-
-    /// Part of the permits that nodes use.
-    fn used_share(&self) -> f64 {
-        let used = self.settled as f64 - self.returned as f64 + PRIOR_USED;
-        let share = used / (self.settled as f64 + PRIOR_SETTLED);
-        share.clamp(USED_SHARE_MINIMUM, 1.0)
-    }
-
-    fn settle(&mut self, now: Timestamp) {
-        let settled = self.grants.partition_point(|grant| grant.settles_at <= now);
-        for grant in self.grants.drain(..settled) {
-            self.outstanding -= grant.permits;
-            self.settled += u64::from(grant.permits);
-        }
-    }
 }
--- a/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
@@ -3,12 +3,13 @@
 //! For each route, and for all together, a CUSUM of the log-likelihood ratio of a bad share `p1` against
 //! `p0`, the share seen at the serving version on the same route in the last seconds. Trouble that
 //! strikes both versions raises `p0` and condemns none; a version that turns bad late is found from
-//! where it turned.
+//! where it turned. Answers of the version on trial are judged a little later than they arrive, so that
+//! `p0` includes the seconds after them too.
 
 use super::totals::ArmOutcomes;
 use crate::gateway::window::SumWindow;
 use crate::time::Timestamp;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use thornbridge_proto::peer::rollout::Outcomes;
 
@@ -31,15 +32,18 @@
 const WORSE_FACTOR: f64 = 4.0;
 
 /// Outcomes assumed before any is known.
-const PRIOR_ANSWERS: f64 = 10.0;
+const PRIOR_ANSWERS: f64 = 2.0;
 /// Bad ones among [`PRIOR_ANSWERS`].
-const PRIOR_BAD_ANSWERS: f64 = 0.5;
+const PRIOR_BAD_ANSWERS: f64 = 0.2;
+
+/// Time from an answer of the version on trial until it is judged: half of the short window.
+const JUDGING_DELAY: Duration = Duration::from_secs(1);
 
 const BUCKET_DURATION: Duration = Duration::from_millis(200);
 /// Window that shows the usual bad share: 4 s.
 const LONG_WINDOW_BUCKETS: u32 = 20;
-/// Window that shows new trouble: 1 s.
-const SHORT_WINDOW_BUCKETS: u32 = 5;
+/// Window that shows new trouble: 2 s.
+const SHORT_WINDOW_BUCKETS: u32 = 10;
 
 /// Bad share over a sliding window.
 #[derive(Debug)]
@@ -159,11 +163,21 @@
     Doubtful,
 }
 
+/// Answers of the version on trial that are not judged yet.
+#[derive(Debug)]
+struct Unjudged {
+    judged_at: Timestamp,
+    route: String,
+    trial: Outcomes,
+}
+
 /// Evidence on the version on trial.
 #[derive(Debug, Default)]
 pub(super) struct Verdict {
     routes: BTreeMap<String, RouteVerdict>,
     all: Cusum,
+    /// Oldest first.
+    unjudged: VecDeque<Unjudged>,
     outcomes: ArmOutcomes,
     /// Answers of the version on trial that carried information.
     informative: u32,
@@ -181,18 +195,30 @@
         verdict.outcomes.add(outcomes);
         verdict.stable_share.add(now, outcomes.stable);
         self.outcomes.add(outcomes);
-        if outcomes.trial.total() == 0 {
-            return;
+        if outcomes.trial.total() > 0 {
+            self.unjudged.push_back(Unjudged {
+                judged_at: now + JUDGING_DELAY,
+                route: route.to_owned(),
+                trial: outcomes.trial,
+            });
         }
-        let Some(evidence) = Evidence::against(verdict.stable_share.share(now)) else {
-            return;
-        };
-        let nats = evidence.of(outcomes.trial);
-        verdict.cusum.add(nats);
-        self.all.add(nats);
-        self.informative += outcomes.trial.total();
-        let route_nats = verdict.cusum.nats;
-        self.condemn(route, route_nats);
+    }
+
+    /// Judges the answers that are old enough.
+    pub(super) fn judge(&mut self, now: Timestamp) {
+        let old_enough = |answers: &Unjudged| answers.judged_at <= now;
+        let count = self.unjudged.partition_point(old_enough);
+        self.judge_first(now, count);
+    }
+
+    /// Judges all answers.
+    pub(super) fn judge_all(&mut self, now: Timestamp) {
+        self.judge_first(now, self.unjudged.len());
+    }
+
+    /// When answers will be old enough to be judged.
+    pub(super) fn next_judgement(&self) -> Option<Timestamp> {
+        self.unjudged.front().map(|answers| answers.judged_at)
     }
 
     /// Route whose evidence condemned the version, empty for all together; `None` if it is not condemned.
@@ -227,6 +253,28 @@
         of_route.map_or(0, |route| route.outcomes.trial.total())
     }
 
+    fn judge_first(&mut self, now: Timestamp, count: usize) {
+        let answers: Vec<Unjudged> = self.unjudged.drain(..count).collect();
+        for Unjudged { route, trial, .. } in &answers {
+            self.judge_answers(now, route, *trial);
+        }
+    }
+
+    fn judge_answers(&mut self, now: Timestamp, route: &str, trial: Outcomes) {
+        let Some(verdict) = self.routes.get_mut(route) else {
+            return;
+        };
+        let Some(evidence) = Evidence::against(verdict.stable_share.share(now)) else {
+            return;
+        };
+        let nats = evidence.of(trial);
+        verdict.cusum.add(nats);
+        self.all.add(nats);
+        self.informative += trial.total();
+        let route_nats = verdict.cusum.nats;
+        self.condemn(route, route_nats);
+    }
+
     fn condemn(&mut self, route: &str, route_nats: f64) {
         if self.condemned_by.is_some() {
             return;
