--- a/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
@@ -1,8 +1,8 @@
 //! Sequential test of a version on trial against the version that serves.
 //!
 //! For each route, and for all together, a CUSUM of the log-likelihood ratio of a bad share `p1` against
-//! `p0`, the share seen at the serving version on the same route in the last seconds. Trouble that
-//! strikes both versions raises `p0` and condemns none; a version that turns bad late is found from
+//! `p0`, the share seen at the serving version on the same route in the last seconds, at its highest since
+//! the CUSUM last was zero. Trouble that strikes both versions raises `p0` and condemns none; a version that turns bad late is found from
 //! where it turned. Answers of the version on trial are judged a little later than they arrive, so that
 //! `p0` includes the seconds after them too.
 
@@ -125,21 +125,34 @@
     }
 }
 
-/// Sum of evidence that starts anew whenever it falls to zero.
+/// Answers of the version on trial since its evidence last was zero.
 #[derive(Clone, Copy, Debug, Default)]
-struct Cusum {
-    nats: f64,
+struct Excursion {
+    trial: Outcomes,
+    /// Highest bad share of the serving version in this time.
+    stable_share: f64,
 }
 
-impl Cusum {
-    fn add(&mut self, nats: f64) {
-        self.nats = (self.nats + nats).max(0.0);
+impl Excursion {
+    fn add(&mut self, trial: Outcomes, stable_share: f64) {
+        self.trial.good += trial.good;
+        self.trial.bad += trial.bad;
+        self.stable_share = self.stable_share.max(stable_share);
+    }
+
+    /// Evidence that the version is worse; negative if it is against that.
+    fn nats(&self) -> f64 {
+        let evidence = Evidence::against(self.stable_share.max(STABLE_SHARE_MINIMUM));
+        evidence.map_or(0.0, |evidence| evidence.of(self.trial))
     }
 }
 
 #[derive(Debug)]
 struct RouteVerdict {
-    cusum: Cusum,
+    /// Evidence on this route.
+    own: Excursion,
+    /// Part of this route in the evidence on all routes.
+    joint: Excursion,
     stable_share: StableShare,
     outcomes: ArmOutcomes,
 }
@@ -147,7 +160,8 @@
 impl RouteVerdict {
     fn new() -> Self {
         Self {
-            cusum: Cusum::default(),
+            own: Excursion::default(),
+            joint: Excursion::default(),
             stable_share: StableShare::new(),
             outcomes: ArmOutcomes::default(),
         }
@@ -175,7 +189,6 @@
 #[derive(Debug, Default)]
 pub(super) struct Verdict {
     routes: BTreeMap<String, RouteVerdict>,
-    all: Cusum,
     /// Oldest first.
     unjudged: VecDeque<Unjudged>,
     outcomes: ArmOutcomes,
@@ -228,8 +241,8 @@
 
     /// Finding as of now.
     pub(super) fn finding(&self) -> Finding {
-        let routes = self.routes.values().map(|route| route.cusum.nats);
-        let highest_nats = routes.fold(self.all.nats, f64::max);
+        let routes = self.routes.values().map(|route| route.own.nats());
+        let highest_nats = routes.fold(self.joint_nats(), f64::max);
         match self.informative >= ANSWERS_MINIMUM && highest_nats < INNOCENT_NATS {
             true => Finding::Innocent,
             false => Finding::Doubtful,
@@ -264,15 +277,30 @@
         let Some(verdict) = self.routes.get_mut(route) else {
             return;
         };
-        let Some(evidence) = Evidence::against(verdict.stable_share.share(now)) else {
-            return;
-        };
-        let nats = evidence.of(trial);
-        verdict.cusum.add(nats);
-        self.all.add(nats);
-        self.informative += trial.total();
-        let route_nats = verdict.cusum.nats;
-        self.condemn(route, route_nats);
+        let stable_share = verdict.stable_share.share(now);
+        if stable_share <= STABLE_SHARE_MAXIMUM {
+            self.informative += trial.total();
+        }
+        verdict.own.add(trial, stable_share);
+        verdict.joint.add(trial, stable_share);
+        let own_nats = verdict.own.nats();
+        if own_nats <= 0.0 {
+            verdict.own = Excursion::default();
+        }
+        if self.joint_nats() <= 0.0 {
+            self.end_joint_excursion();
+        }
+        self.condemn(route, own_nats);
+    }
+
+    fn joint_nats(&self) -> f64 {
+        self.routes.values().map(|route| route.joint.nats()).sum()
+    }
+
+    fn end_joint_excursion(&mut self) {
+        for route in self.routes.values_mut() {
+            route.joint = Excursion::default();
+        }
     }
 
     fn condemn(&mut self, route: &str, route_nats: f64) {
@@ -281,7 +309,7 @@
         }
         if route_nats >= CONDEMNING_NATS {
             self.condemned_by = Some(route.to_owned());
-        } else if self.all.nats >= CONDEMNING_NATS {
+        } else if self.joint_nats() >= CONDEMNING_NATS {
             self.condemned_by = Some(String::new());
         }
     }
