--- a/crates/thornbridge-core/src/gateway/rollouts/totals.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/totals.rs
@@ -61,7 +61,7 @@
     })
 }
 
-fn add_outcomes(sum: &mut Outcomes, added: Outcomes) {
+pub(super) fn add_outcomes(sum: &mut Outcomes, added: Outcomes) {
     sum.good = sum.good.saturating_add(added.good);
     sum.bad = sum.bad.saturating_add(added.bad);
 }
--- a/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
@@ -1,12 +1,13 @@
 //! Sequential test of a version on trial against the version that serves.
 //!
 //! For each route, and for all together, a CUSUM of the log-likelihood ratio of a bad share `p1` against
-//! `p0`, the share seen at the serving version on the same route in the last seconds, at its highest since
-//! the CUSUM last was zero. Trouble that strikes both versions raises `p0` and condemns none; a version that turns bad late is found from
+//! `p0`, the share seen at the serving version on the same route in the last seconds. Trouble that strikes both versions raises `p0` and condemns none; a version that turns bad late is found from
 //! where it turned. Answers of the version on trial are judged a little later than they arrive, so that
-//! `p0` includes the seconds after them too.
+//! `p0` includes the seconds after them too. Where few requests make `p0` uncertain, the CUSUM alone may
+//! still err; a version is condemned only if its answers since the CUSUM last was zero are also in contrast
+//! to those of the serving version in the same time.
 
-use super::totals::ArmOutcomes;
+use super::totals::{ArmOutcomes, add_outcomes};
 use crate::gateway::window::SumWindow;
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
@@ -15,6 +16,8 @@
 
 /// CUSUM at which a version is condemned, in nats.
 const CONDEMNING_NATS: f64 = 9.0;
+/// Contrast of the versions without which none is condemned, in nats.
+const CONTRAST_NATS_MINIMUM: f64 = 4.0;
 /// CUSUM below which nothing speaks against a version, in nats.
 const INNOCENT_NATS: f64 = CONDEMNING_NATS / 2.0;
 /// Informative answers of the version on trial without which it is not accepted.
@@ -65,6 +68,15 @@
         self.bad.add(now, u64::from(outcomes.bad));
     }
 
+    fn outcomes(&mut self, now: Timestamp) -> Outcomes {
+        let bad = self.bad.sum(now);
+        let good = self.answers.sum(now) - bad;
+        Outcomes {
+            good: good as u32,
+            bad: bad as u32,
+        }
+    }
+
     fn share(&mut self, now: Timestamp) -> f64 {
         let answers = self.answers.sum(now) as f64 + PRIOR_ANSWERS;
         let bad = self.bad.sum(now) as f64 + PRIOR_BAD_ANSWERS;
@@ -96,6 +108,10 @@
         let seen = self.long.share(now).max(self.short.share(now));
         seen.max(STABLE_SHARE_MINIMUM)
     }
+
+    fn recent(&mut self, now: Timestamp) -> Outcomes {
+        self.short.outcomes(now)
+    }
 }
 
 /// Log-likelihood ratios of a good and a bad answer, worse against equal, in nats.
@@ -125,28 +141,58 @@
     }
 }
 
-/// Answers of the version on trial since its evidence last was zero.
+/// Answers since the evidence last was zero, and the evidence.
 #[derive(Clone, Copy, Debug, Default)]
 struct Excursion {
+    nats: f64,
     trial: Outcomes,
-    /// Highest bad share of the serving version in this time.
-    stable_share: f64,
+    /// Answers of the serving version in the same time.
+    stable: Outcomes,
 }
 
 impl Excursion {
-    fn add(&mut self, trial: Outcomes, stable_share: f64) {
-        self.trial.good += trial.good;
-        self.trial.bad += trial.bad;
-        self.stable_share = self.stable_share.max(stable_share);
+    fn add_stable(&mut self, stable: Outcomes) {
+        if self.trial.total() > 0 {
+            add_outcomes(&mut self.stable, stable);
+        }
     }
 
-    /// Evidence that the version is worse; negative if it is against that.
-    fn nats(&self) -> f64 {
-        let evidence = Evidence::against(self.stable_share.max(STABLE_SHARE_MINIMUM));
-        evidence.map_or(0.0, |evidence| evidence.of(self.trial))
+    /// `recent_stable`: answers of the serving version around the time of these answers.
+    fn add_trial(&mut self, trial: Outcomes, nats: f64, recent_stable: Outcomes) {
+        if self.trial.total() == 0 {
+            self.stable = recent_stable;
+        }
+        add_outcomes(&mut self.trial, trial);
+        self.nats += nats;
+    }
+
+    /// Log-likelihood ratio of different bad shares of the versions against equal ones, in nats; zero if
+    /// the version on trial has the lower one.
+    fn contrast_nats(&self) -> f64 {
+        let (trial, stable) = (self.trial, self.stable);
+        if bad_share(trial) <= bad_share(stable) {
+            return 0.0;
+        }
+        let mut both = trial;
+        add_outcomes(&mut both, stable);
+        log_likelihood(trial) + log_likelihood(stable) - log_likelihood(both)
     }
 }
 
+fn bad_share(outcomes: Outcomes) -> f64 {
+    f64::from(outcomes.bad) / f64::from(outcomes.total().max(1))
+}
+
+/// Highest log-likelihood of outcomes under one bad share.
+fn log_likelihood(outcomes: Outcomes) -> f64 {
+    let total = f64::from(outcomes.total());
+    let of_count = |count: u32| match count {
+        0 => 0.0,
+        _ => f64::from(count) * (f64::from(count) / total).ln(),
+    };
+    of_count(outcomes.good) + of_count(outcomes.bad)
+}
+
 #[derive(Debug)]
 struct RouteVerdict {
     /// Evidence on this route.
@@ -166,6 +212,12 @@
             outcomes: ArmOutcomes::default(),
         }
     }
+
+    fn add_stable(&mut self, now: Timestamp, stable: Outcomes) {
+        self.stable_share.add(now, stable);
+        self.own.add_stable(stable);
+        self.joint.add_stable(stable);
+    }
 }
 
 /// What the outcomes say of the version on trial, should the roll-out end now.
@@ -206,7 +258,7 @@
             .entry(route.to_owned())
             .or_insert_with(RouteVerdict::new);
         verdict.outcomes.add(outcomes);
-        verdict.stable_share.add(now, outcomes.stable);
+        verdict.add_stable(now, outcomes.stable);
         self.outcomes.add(outcomes);
         if outcomes.trial.total() > 0 {
             self.unjudged.push_back(Unjudged {
@@ -241,7 +293,7 @@
 
     /// Finding as of now.
     pub(super) fn finding(&self) -> Finding {
-        let routes = self.routes.values().map(|route| route.own.nats());
+        let routes = self.routes.values().map(|route| route.own.nats);
         let highest_nats = routes.fold(self.joint_nats(), f64::max);
         match self.informative >= ANSWERS_MINIMUM && highest_nats < INNOCENT_NATS {
             true => Finding::Innocent,
@@ -277,24 +329,31 @@
         let Some(verdict) = self.routes.get_mut(route) else {
             return;
         };
-        let stable_share = verdict.stable_share.share(now);
-        if stable_share <= STABLE_SHARE_MAXIMUM {
+        let evidence = Evidence::against(verdict.stable_share.share(now));
+        if evidence.is_some() {
             self.informative += trial.total();
         }
-        verdict.own.add(trial, stable_share);
-        verdict.joint.add(trial, stable_share);
-        let own_nats = verdict.own.nats();
-        if own_nats <= 0.0 {
+        let nats = evidence.map_or(0.0, |evidence| evidence.of(trial));
+        let recent_stable = verdict.stable_share.recent(now);
+        verdict.own.add_trial(trial, nats, recent_stable);
+        verdict.joint.add_trial(trial, nats, recent_stable);
+        if verdict.own.nats <= 0.0 {
             verdict.own = Excursion::default();
         }
+        let own = verdict.own;
         if self.joint_nats() <= 0.0 {
             self.end_joint_excursion();
         }
-        self.condemn(route, own_nats);
+        self.condemn(route, own);
     }
 
     fn joint_nats(&self) -> f64 {
-        self.routes.values().map(|route| route.joint.nats()).sum()
+        self.routes.values().map(|route| route.joint.nats).sum()
+    }
+
+    fn joint_contrast_nats(&self) -> f64 {
+        let routes = self.routes.values();
+        routes.map(|route| route.joint.contrast_nats()).sum()
     }
 
     fn end_joint_excursion(&mut self) {
@@ -303,14 +362,18 @@
         }
     }
 
-    fn condemn(&mut self, route: &str, route_nats: f64) {
+    fn condemn(&mut self, route: &str, own: Excursion) {
         if self.condemned_by.is_some() {
             return;
         }
-        if route_nats >= CONDEMNING_NATS {
+        if condemns(own.nats, own.contrast_nats()) {
             self.condemned_by = Some(route.to_owned());
-        } else if self.joint_nats() >= CONDEMNING_NATS {
+        } else if condemns(self.joint_nats(), self.joint_contrast_nats()) {
             self.condemned_by = Some(String::new());
         }
     }
 }
+
+fn condemns(nats: f64, contrast_nats: f64) -> bool {
+    nats >= CONDEMNING_NATS && contrast_nats >= CONTRAST_NATS_MINIMUM
+}
