--- a/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
@@ -91,7 +91,7 @@
             pace: Pace::new(),
             reuse: Reuse::new(lifetime_bounds(&parameters)),
             totals: ReportedTotals::default(),
-            verdict: Verdict::default(),
+            verdict: Verdict::new(),
             instances: Vec::new(),
             decision_due: timing.ordered_at + timing.period,
             decision: None,
--- a/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
@@ -17,7 +17,7 @@
 /// CUSUM at which a version is condemned, in nats.
 const CONDEMNING_NATS: f64 = 9.0;
 /// Contrast of the versions without which none is condemned, in nats.
-const CONTRAST_NATS_MINIMUM: f64 = 4.0;
+const CONTRAST_NATS_MINIMUM: f64 = 7.0;
 /// CUSUM below which nothing speaks against a version, in nats.
 const INNOCENT_NATS: f64 = CONDEMNING_NATS / 2.0;
 /// Informative answers of the version on trial without which it is not accepted.
@@ -34,10 +34,12 @@
 /// Bad share that is looked for, as a multiple of that of the serving version.
 const WORSE_FACTOR: f64 = 4.0;
 
-/// Outcomes assumed before any is known.
+/// Bad share assumed before any answer is known.
+const PRIOR_SHARE: f64 = 0.1;
+/// Answers as which an assumed share counts.
 const PRIOR_ANSWERS: f64 = 2.0;
-/// Bad ones among [`PRIOR_ANSWERS`].
-const PRIOR_BAD_ANSWERS: f64 = 0.2;
+/// Answers as which the share of all routes counts at a route, over the short window.
+const OTHER_ROUTES_ANSWERS: f64 = 4.0;
 
 /// Time from an answer of the version on trial until it is judged: half of the short window.
 const JUDGING_DELAY: Duration = Duration::from_secs(1);
@@ -77,9 +79,10 @@
         }
     }
 
-    fn share(&mut self, now: Timestamp) -> f64 {
-        let answers = self.answers.sum(now) as f64 + PRIOR_ANSWERS;
-        let bad = self.bad.sum(now) as f64 + PRIOR_BAD_ANSWERS;
+    /// Share of the window, with an assumed share that counts as a number of answers.
+    fn share(&mut self, now: Timestamp, assumed_share: f64, assumed_answers: f64) -> f64 {
+        let answers = self.answers.sum(now) as f64 + assumed_answers;
+        let bad = self.bad.sum(now) as f64 + assumed_share * assumed_answers;
         bad / answers
     }
 }
@@ -104,8 +107,13 @@
         self.short.add(now, outcomes);
     }
 
-    fn share(&mut self, now: Timestamp) -> f64 {
-        let seen = self.long.share(now).max(self.short.share(now));
+    /// `all_routes_share`: share over all routes in the short window.
+    fn share(&mut self, now: Timestamp, all_routes_share: f64) -> f64 {
+        let long = self.long.share(now, PRIOR_SHARE, PRIOR_ANSWERS);
+        let short = self
+            .short
+            .share(now, all_routes_share, OTHER_ROUTES_ANSWERS);
+        let seen = long.max(short);
         seen.max(STABLE_SHARE_MINIMUM)
     }
 
@@ -238,9 +246,11 @@
 }
 
 /// Evidence on the version on trial.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Verdict {
     routes: BTreeMap<String, RouteVerdict>,
+    /// Answers of the serving version on all routes.
+    stable: ShareWindow,
     /// Oldest first.
     unjudged: VecDeque<Unjudged>,
     outcomes: ArmOutcomes,
@@ -251,6 +261,17 @@
 }
 
 impl Verdict {
+    pub(super) fn new() -> Self {
+        Self {
+            routes: BTreeMap::new(),
+            stable: ShareWindow::new(SHORT_WINDOW_BUCKETS),
+            unjudged: VecDeque::new(),
+            outcomes: ArmOutcomes::default(),
+            informative: 0,
+            condemned_by: None,
+        }
+    }
+
     /// Adds outcomes of a route that became known.
     pub(super) fn add(&mut self, now: Timestamp, route: &str, outcomes: ArmOutcomes) {
         let verdict = self
@@ -259,6 +280,7 @@
             .or_insert_with(RouteVerdict::new);
         verdict.outcomes.add(outcomes);
         verdict.add_stable(now, outcomes.stable);
+        self.stable.add(now, outcomes.stable);
         self.outcomes.add(outcomes);
         if outcomes.trial.total() > 0 {
             self.unjudged.push_back(Unjudged {
@@ -329,7 +351,9 @@
         let Some(verdict) = self.routes.get_mut(route) else {
             return;
         };
-        let evidence = Evidence::against(verdict.stable_share.share(now));
+        let all_routes_share = self.stable.share(now, PRIOR_SHARE, PRIOR_ANSWERS);
+        let stable_share = verdict.stable_share.share(now, all_routes_share);
+        let evidence = Evidence::against(stable_share);
         if evidence.is_some() {
             self.informative += trial.total();
         }
@@ -352,8 +376,12 @@
     }
 
     fn joint_contrast_nats(&self) -> f64 {
-        let routes = self.routes.values();
-        routes.map(|route| route.joint.contrast_nats()).sum()
+        let mut all = Excursion::default();
+        for route in self.routes.values() {
+            add_outcomes(&mut all.trial, route.joint.trial);
+            add_outcomes(&mut all.stable, route.joint.stable);
+        }
+        all.contrast_nats()
     }
 
     fn end_joint_excursion(&mut self) {
