--- a/crates/thornbridge-core/src/gateway/rollouts/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/mod.rs
@@ -7,10 +7,12 @@
 //! ([`VersionRoles`](super::servers::VersionRoles)).
 
 pub(super) mod conductor;
+mod evidence;
 mod exposure;
 mod pace;
 mod reuse;
 mod schedule;
+mod stable_share;
 #[cfg(test)]
 mod tests;
 mod totals;
--- a/crates/thornbridge-core/src/gateway/rollouts/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/mod.rs
@@ -3,6 +3,7 @@
 mod conductor;
 mod decisions;
 mod exposure;
+mod reuse;
 mod schedule;
 mod simulation;
 mod support;
--- a/crates/thornbridge-core/src/gateway/rollouts/tests/simulation.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/simulation.rs
@@ -8,7 +8,7 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
-use thornbridge_proto::peer::rollout::{Outcomes, RouteReport};
+use thornbridge_proto::peer::rollout::{Outcomes, RolloutState, RouteReport};
 
 /// Routes of the service.
 const ROUTES: [&str; 2] = ["lookup", "sweep"];
@@ -49,6 +49,10 @@
     pub(super) sampled: u32,
     /// Bad ones among those sent.
     pub(super) bad: u32,
+    /// Requests from the order to the deadline.
+    pub(super) requests: u32,
+    /// Requests sent to the new version from the order to the deadline.
+    pub(super) exposed: u32,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -118,6 +122,7 @@
     events: BinaryHeap<Reverse<(Timestamp, Event)>>,
     sampled: u32,
     bad: u32,
+    requests: u32,
 }
 
 /// Runs a roll-out until its decision.
@@ -132,12 +137,21 @@
         events: BinaryHeap::new(),
         sampled: 0,
         bad: 0,
+        requests: 0,
     };
     let decision = simulation.run();
+    let requests = simulation.requests;
+    simulation.count_until_deadline();
+    let after_decision = match decision.state {
+        RolloutState::Complete => simulation.requests - requests,
+        RolloutState::Serving | RolloutState::RolledBack => 0,
+    };
     Run {
         decision,
         sampled: simulation.sampled,
         bad: simulation.bad,
+        requests: simulation.requests,
+        exposed: simulation.sampled + after_decision,
     }
 }
 
@@ -161,6 +175,26 @@
         unreachable!("requests follow each other")
     }
 
+    /// Counts the requests that arrive after the decision.
+    fn count_until_deadline(&mut self) {
+        while let Some(Reverse((now, event))) = self.events.pop() {
+            if now >= ORDERED_AT + PERIOD {
+                return;
+            }
+            if event == Event::Request {
+                self.arrive(now);
+            }
+        }
+    }
+
+    /// Counts a request and plans the next one.
+    fn arrive(&mut self, now: Timestamp) {
+        self.requests += 1;
+        let draw: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
+        let interval = Duration::from_secs_f64(-draw.ln() / self.scenario.rate_per_s);
+        self.schedule(now + interval, Event::Request);
+    }
+
     fn schedule(&mut self, at: Timestamp, event: Event) {
         self.events.push(Reverse((at, event)));
     }
@@ -185,9 +219,7 @@
     }
 
     fn request(&mut self, now: Timestamp) {
-        let draw: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
-        let interval = Duration::from_secs_f64(-draw.ln() / self.scenario.rate_per_s);
-        self.schedule(now + interval, Event::Request);
+        self.arrive(now);
         let node = self.random.random_range(0..self.scenario.nodes);
         let route = self.random.random_range(0..self.scenario.routes);
         let counts = &mut self.nodes[node].routes[route];
--- a/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
@@ -1,205 +1,27 @@
 //! Sequential test of a version on trial against the version that serves.
 //!
 //! For each route, and for all together, a CUSUM of the log-likelihood ratio of a bad share `p1` against
-//! `p0`, the share seen at the serving version on the same route in the last seconds. Trouble that strikes both versions raises `p0` and condemns none; a version that turns bad late is found from
-//! where it turned. Answers of the version on trial are judged a little later than they arrive, so that
+//! `p0`, the share seen at the serving version on the same route in the last seconds. Trouble that
+//! strikes both versions raises `p0` and condemns none; a version that turns bad late is found from where
+//! it turned. Answers of the version on trial are judged a little later than they arrive, so that
 //! `p0` includes the seconds after them too. Where few requests make `p0` uncertain, the CUSUM alone may
 //! still err; a version is condemned only if its answers since the CUSUM last was zero are also in contrast
 //! to those of the serving version in the same time.
 
+use super::evidence::{CONDEMNING_NATS, Evidence, Excursion, condemns};
+use super::stable_share::{SHORT_WINDOW_MIDDLE, ShareWindow, StableShare};
 use super::totals::{ArmOutcomes, add_outcomes};
-use crate::gateway::window::SumWindow;
 use crate::time::Timestamp;
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 use thornbridge_proto::peer::rollout::Outcomes;
 
-/// CUSUM at which a version is condemned, in nats.
-const CONDEMNING_NATS: f64 = 9.0;
-/// Contrast of the versions without which none is condemned, in nats.
-const CONTRAST_NATS_MINIMUM: f64 = 7.0;
 /// CUSUM below which nothing speaks against a version, in nats.
 const INNOCENT_NATS: f64 = CONDEMNING_NATS / 2.0;
 /// Informative answers of the version on trial without which it is not accepted.
 const ANSWERS_MINIMUM: u32 = 8;
-
-/// Least bad share assumed of the serving version.
-const STABLE_SHARE_MINIMUM: f64 = 0.03;
-/// Bad share of the serving version above which answers carry no information.
-const STABLE_SHARE_MAXIMUM: f64 = 0.5;
-/// Least bad share that is looked for.
-const WORSE_SHARE_MINIMUM: f64 = 0.3;
-/// Highest bad share that is looked for.
-const WORSE_SHARE_MAXIMUM: f64 = 0.9;
-/// Bad share that is looked for, as a multiple of that of the serving version.
-const WORSE_FACTOR: f64 = 4.0;
-
-/// Bad share assumed before any answer is known.
-const PRIOR_SHARE: f64 = 0.1;
-/// Answers as which an assumed share counts.
-const PRIOR_ANSWERS: f64 = 2.0;
-/// Answers as which the share of all routes counts at a route, over the short window.
-const OTHER_ROUTES_ANSWERS: f64 = 4.0;
-
-/// Time from an answer of the version on trial until it is judged: half of the short window.
-const JUDGING_DELAY: Duration = Duration::from_secs(1);
-
-const BUCKET_DURATION: Duration = Duration::from_millis(200);
-/// Window that shows the usual bad share: 4 s.
-const LONG_WINDOW_BUCKETS: u32 = 20;
-/// Window that shows new trouble: 2 s.
-const SHORT_WINDOW_BUCKETS: u32 = 10;
-
-/// Bad share over a sliding window.
-#[derive(Debug)]
-struct ShareWindow {
-    answers: SumWindow,
-    bad: SumWindow,
-}
-
-impl ShareWindow {
-    fn new(buckets: u32) -> Self {
-        Self {
-            answers: SumWindow::new(BUCKET_DURATION, buckets),
-            bad: SumWindow::new(BUCKET_DURATION, buckets),
-        }
-    }
-
-    fn add(&mut self, now: Timestamp, outcomes: Outcomes) {
-        self.answers.add(now, u64::from(outcomes.total()));
-        self.bad.add(now, u64::from(outcomes.bad));
-    }
-
-    fn outcomes(&mut self, now: Timestamp) -> Outcomes {
-        let bad = self.bad.sum(now);
-        let good = self.answers.sum(now) - bad;
-        Outcomes {
-            good: good as u32,
-            bad: bad as u32,
-        }
-    }
-
-    /// Share of the window, with an assumed share that counts as a number of answers.
-    fn share(&mut self, now: Timestamp, assumed_share: f64, assumed_answers: f64) -> f64 {
-        let answers = self.answers.sum(now) as f64 + assumed_answers;
-        let bad = self.bad.sum(now) as f64 + assumed_share * assumed_answers;
-        bad / answers
-    }
-}
-
-/// Bad share of the serving version.
-#[derive(Debug)]
-struct StableShare {
-    long: ShareWindow,
-    short: ShareWindow,
-}
-
-impl StableShare {
-    fn new() -> Self {
-        Self {
-            long: ShareWindow::new(LONG_WINDOW_BUCKETS),
-            short: ShareWindow::new(SHORT_WINDOW_BUCKETS),
-        }
-    }
-
-    fn add(&mut self, now: Timestamp, outcomes: Outcomes) {
-        self.long.add(now, outcomes);
-        self.short.add(now, outcomes);
-    }
-
-    /// `all_routes_share`: share over all routes in the short window.
-    fn share(&mut self, now: Timestamp, all_routes_share: f64) -> f64 {
-        let long = self.long.share(now, PRIOR_SHARE, PRIOR_ANSWERS);
-        let short = self
-            .short
-            .share(now, all_routes_share, OTHER_ROUTES_ANSWERS);
-        let seen = long.max(short);
-        seen.max(STABLE_SHARE_MINIMUM)
-    }
-
-    fn recent(&mut self, now: Timestamp) -> Outcomes {
-        self.short.outcomes(now)
-    }
-}
-
-/// Log-likelihood ratios of a good and a bad answer, worse against equal, in nats.
-#[derive(Clone, Copy, Debug)]
-struct Evidence {
-    good_nats: f64,
-    bad_nats: f64,
-}
-
-impl Evidence {
-    /// `None` if answers carry no information at this bad share of the serving version.
-    fn against(stable_share: f64) -> Option<Self> {
-        if stable_share > STABLE_SHARE_MAXIMUM {
-            return None;
-        }
-        let worse_share = (WORSE_FACTOR * stable_share)
-            .max(WORSE_SHARE_MINIMUM)
-            .min(WORSE_SHARE_MAXIMUM);
-        Some(Self {
-            good_nats: ((1.0 - worse_share) / (1.0 - stable_share)).ln(),
-            bad_nats: (worse_share / stable_share).ln(),
-        })
-    }
-
-    fn of(self, outcomes: Outcomes) -> f64 {
-        f64::from(outcomes.good) * self.good_nats + f64::from(outcomes.bad) * self.bad_nats
-    }
-}
-
-/// Answers since the evidence last was zero, and the evidence.
-#[derive(Clone, Copy, Debug, Default)]
-struct Excursion {
-    nats: f64,
-    trial: Outcomes,
-    /// Answers of the serving version in the same time.
-    stable: Outcomes,
-}
-
-impl Excursion {
-    fn add_stable(&mut self, stable: Outcomes) {
-        if self.trial.total() > 0 {
-            add_outcomes(&mut self.stable, stable);
-        }
-    }
-
-    /// `recent_stable`: answers of the serving version around the time of these answers.
-    fn add_trial(&mut self, trial: Outcomes, nats: f64, recent_stable: Outcomes) {
-        if self.trial.total() == 0 {
-            self.stable = recent_stable;
-        }
-        add_outcomes(&mut self.trial, trial);
-        self.nats += nats;
-    }
-
-    /// Log-likelihood ratio of different bad shares of the versions against equal ones, in nats; zero if
-    /// the version on trial has the lower one.
-    fn contrast_nats(&self) -> f64 {
-        let (trial, stable) = (self.trial, self.stable);
-        if bad_share(trial) <= bad_share(stable) {
-            return 0.0;
-        }
-        let mut both = trial;
-        add_outcomes(&mut both, stable);
-        log_likelihood(trial) + log_likelihood(stable) - log_likelihood(both)
-    }
-}
-
-fn bad_share(outcomes: Outcomes) -> f64 {
-    f64::from(outcomes.bad) / f64::from(outcomes.total().max(1))
-}
-
-/// Highest log-likelihood of outcomes under one bad share.
-fn log_likelihood(outcomes: Outcomes) -> f64 {
-    let total = f64::from(outcomes.total());
-    let of_count = |count: u32| match count {
-        0 => 0.0,
-        _ => f64::from(count) * (f64::from(count) / total).ln(),
-    };
-    of_count(outcomes.good) + of_count(outcomes.bad)
-}
+/// Time from an answer of the version on trial until it is judged.
+const JUDGING_DELAY: Duration = SHORT_WINDOW_MIDDLE;
 
 #[derive(Debug)]
 struct RouteVerdict {
@@ -264,7 +86,7 @@
     pub(super) fn new() -> Self {
         Self {
             routes: BTreeMap::new(),
-            stable: ShareWindow::new(SHORT_WINDOW_BUCKETS),
+            stable: ShareWindow::short(),
             unjudged: VecDeque::new(),
             outcomes: ArmOutcomes::default(),
             informative: 0,
@@ -351,7 +173,7 @@
         let Some(verdict) = self.routes.get_mut(route) else {
             return;
         };
-        let all_routes_share = self.stable.share(now, PRIOR_SHARE, PRIOR_ANSWERS);
+        let all_routes_share = self.stable.share(now);
         let stable_share = verdict.stable_share.share(now, all_routes_share);
         let evidence = Evidence::against(stable_share);
         if evidence.is_some() {
@@ -401,7 +223,3 @@
         }
     }
 }
-
-fn condemns(nats: f64, contrast_nats: f64) -> bool {
-    nats >= CONDEMNING_NATS && contrast_nats >= CONTRAST_NATS_MINIMUM
-}
