--- a/crates/thornbridge-core/src/gateway/rollouts/evidence.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/evidence.rs
@@ -3,10 +3,8 @@
 use super::totals::add_outcomes;
 use thornbridge_proto::peer::rollout::Outcomes;
 
-/// CUSUM at which a version is condemned, in nats.
+/// CUSUM and contrast at which a version is condemned, in nats.
 pub(super) const CONDEMNING_NATS: f64 = 9.0;
-/// Contrast of the versions without which none is condemned, in nats.
-const CONTRAST_NATS_MINIMUM: f64 = 8.0;
 /// Bad share of the serving version above which answers carry no information.
 const STABLE_SHARE_MAXIMUM: f64 = 0.5;
 /// Least bad share that is looked for.
@@ -29,9 +27,8 @@
         if stable_share > STABLE_SHARE_MAXIMUM {
             return None;
         }
-        let worse_share = (WORSE_FACTOR * stable_share)
-            .max(WORSE_SHARE_MINIMUM)
-            .min(WORSE_SHARE_MAXIMUM);
+        let worse_share = WORSE_FACTOR * stable_share;
+        let worse_share = worse_share.clamp(WORSE_SHARE_MINIMUM, WORSE_SHARE_MAXIMUM);
         Some(Self {
             good_nats: ((1.0 - worse_share) / (1.0 - stable_share)).ln(),
             bad_nats: (worse_share / stable_share).ln(),
@@ -97,5 +94,5 @@
 
 /// Whether evidence and contrast together condemn a version.
 pub(super) fn condemns(nats: f64, contrast_nats: f64) -> bool {
-    nats >= CONDEMNING_NATS && contrast_nats >= CONTRAST_NATS_MINIMUM
+    nats >= CONDEMNING_NATS && contrast_nats >= CONDEMNING_NATS
 }
--- a/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
@@ -20,6 +20,8 @@
 const LEAD_SHARE: f64 = 0.1;
 /// Time in which a new conductor gets the totals of the nodes, before it decides on time.
 const GATHERING_TIME: Duration = Duration::from_millis(500);
+/// Standard deviations by which the requests between the decision and the deadline may exceed their mean.
+const ARRIVAL_DEVIATIONS: f64 = 3.0;
 
 const RATE_BUCKET_DURATION: Duration = Duration::from_millis(250);
 /// Window of the request rate: 3 s.
@@ -88,7 +90,7 @@
     }
 
     /// Part of the sample that is released by the end of the current round.
-    pub(super) fn released_share(&self, now: Timestamp) -> f64 {
+    fn released_share(&self, now: Timestamp) -> f64 {
         let elapsed_share = f64::from(self.round(now) + 1) / f64::from(ROUNDS);
         if elapsed_share < EARLY_TIME_SHARE {
             return EARLY_SAMPLE_SHARE * elapsed_share / EARLY_TIME_SHARE;
@@ -105,7 +107,7 @@
         (round as u32).min(ROUNDS - 1)
     }
 
-    /// Part of the sample that one report may release, for all rounds up to this one.
+    /// Permits that are released by the end of the current round.
     pub(super) fn released(&mut self, now: Timestamp, ledger: &Ledger) -> f64 {
         let further_requests = self.further_requests(now);
         self.released_share(now) * ledger.sample_total(further_requests)
@@ -118,10 +120,17 @@
     fn lead(&mut self, now: Timestamp, completion_total: f64) -> Duration {
         let longest = self.timing.period.mul_f64(LEAD_SHARE);
         let rate_per_s = self.rate_per_s(now);
-        let longest_s = longest.as_secs_f64();
-        if rate_per_s * longest_s <= completion_total {
+        let requests = mean_within(completion_total);
+        if rate_per_s * longest.as_secs_f64() <= requests {
             return longest;
         }
-        Duration::from_secs_f64(completion_total / rate_per_s)
+        Duration::from_secs_f64(requests / rate_per_s)
     }
 }
+
+/// Mean of a number of arrivals that stays below `most` with a margin of some standard deviations.
+fn mean_within(most: f64) -> f64 {
+    let half_margin = ARRIVAL_DEVIATIONS / 2.0;
+    let root = (most.max(0.0) + half_margin * half_margin).sqrt() - half_margin;
+    root * root
+}
--- a/crates/thornbridge-core/src/gateway/rollouts/stable_share.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/stable_share.rs
@@ -12,7 +12,7 @@
 /// Answers as which [`PRIOR_SHARE`] counts.
 const PRIOR_ANSWERS: f64 = 2.0;
 /// Answers as which the share of all routes counts at a route, over the short window.
-const ALL_ROUTES_ANSWERS: f64 = 4.0;
+const ALL_ROUTES_ANSWERS: f64 = 6.0;
 
 const BUCKET_DURATION: Duration = Duration::from_millis(200);
 /// Window that shows the usual bad share: 4 s.
