--- a/crates/thornbridge-core/src/gateway/rollouts/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/mod.rs
@@ -20,22 +20,32 @@
 //! | `writer` | writing a state until it stands |
 //! | `telemetry` | steps for logs and metrics |
 //! | [`conductor`] | permits and the comparison of the versions |
+//! | `exposure`, `reuse`, `pace`, `schedule` | how many permits there are, and when |
+//! | `totals`, `evidence`, `stable_share`, `verdict` | the comparison |
 //! | [`trials`] | permits and counts at this node |
 
 mod conducting;
 pub(super) mod conductor;
 pub(super) mod control;
 mod established;
+mod evidence;
+mod exposure;
 mod messages;
 pub(super) mod orders;
+mod pace;
 mod peers;
 mod reporter;
+mod reuse;
 mod roles;
 mod rollout;
+mod schedule;
+mod stable_share;
 pub(super) mod telemetry;
 #[cfg(test)]
 mod tests;
+mod totals;
 pub(super) mod trials;
+mod verdict;
 mod writer;
 
 pub(super) use control::{Context, Rollouts};
--- a/crates/thornbridge-core/src/gateway/rollouts/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/mod.rs
@@ -1,3 +1,11 @@
-//! Unit and property tests of roll-outs.
+//! Tests of roll-outs.
 
+mod conductor;
+mod decisions;
+mod exposure;
+mod reuse;
+mod schedule;
+mod simulation;
+mod support;
 mod trials;
+mod verdict;
--- a/crates/thornbridge-core/src/gateway/tests/trial_support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/trial_support.rs
@@ -124,7 +124,8 @@
 
 pub fn set_roles(harness: &mut Harness, roles: VersionRoles) {
     let service = service_key(harness);
-    harness.gateway.apply_version_roles(service, roles);
+    harness.gateway.servers.set_version_roles(service, roles);
+    harness.gateway.version_roles_changed(&[service]);
     // Executes the actions.
     harness.event(GatewayEvent::AnswerDelayed {
         delay: Duration::ZERO,
