--- a/crates/thornbridge-config/src/routes.rs
+++ b/crates/thornbridge-config/src/routes.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 use std::fmt;
 use std::time::Duration;
-use thornbridge_proto::ServiceName;
+use thornbridge_proto::{RegionName, ServiceName};
 
 /// Bytes of one record in the answer of a gather target.
 pub const RECORD_BYTES: usize = 16;
@@ -100,6 +100,9 @@
     pub priority: u8,
     /// Most servers that one request (for a gather: one shard of it) is sent to.
     pub attempts: u32,
+    /// Regions outside of which no server may get requests; empty where any may.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub home_regions: Vec<RegionName>,
 }
 
 /// What is known of a service beside its servers.
@@ -109,6 +112,18 @@
     pub name: ServiceName,
     /// Connections that each of its servers takes from all callers together.
     pub connections: u32,
+    /// How its servers warm up; `None` where what a cold one gets is not bounded.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warm_up: Option<WarmUp>,
+}
+
+/// How the servers of a service warm up.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmUp {
+    /// Time for which a server is cold.
+    pub duration: Duration,
+    /// Requests a second that a cold server bears, from all nodes together.
+    pub requests_per_s: f64,
 }
 
 /// What a caller may send, and how long it may take.
@@ -180,10 +195,24 @@
             }
             route.check(&mut found);
         }
+        for service in &self.services {
+            if let Some(detail) = service.problem() {
+                let subject = format!("service {}", service.name);
+                problems.push(RouteProblem { subject, detail });
+            }
+        }
         problems
     }
 }
 
+impl RoutedService {
+    fn problem(&self) -> Option<String> {
+        let rate = self.warm_up?.requests_per_s;
+        let valid = rate.is_finite() && rate > 0.0;
+        (!valid).then(|| format!("{rate} requests a second while cold; expected more than 0"))
+    }
+}
+
 impl Route {
     fn check(&self, found: &mut impl FnMut(String)) {
         let prefix = &self.prefix;
--- a/crates/thornbridge-core/src/gateway/exchange/slice_coordinator.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/slice_coordinator.rs
@@ -279,6 +279,7 @@
         report_in_us: micros(remaining.saturating_sub(overhead)),
         second_after_us: micros(hedge_not_before.since(context.now)),
         ends_in_us: micros(request.deadline.since(context.now)),
+        home_regions: route.home_regions.clone(),
     })
 }
 
--- a/crates/thornbridge-core/src/gateway/exchange/slice_owner.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/slice_owner.rs
@@ -403,6 +403,7 @@
             latency_objective: Duration::from_micros(task.objective_us),
             priority: 0,
             attempts: task.attempts,
+            home_regions: task.home_regions,
         },
     }
 }
--- a/crates/thornbridge-core/src/gateway/tests/slice_support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/slice_support.rs
@@ -114,6 +114,7 @@
         report_in_us: 100_000,
         second_after_us: 50_000,
         ends_in_us: 900_000,
+        home_regions: Vec::new(),
     }
 }
 
--- a/crates/thornbridge-core/src/gateway/tests/subsets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/subsets.rs
@@ -59,6 +59,7 @@
             .map(|shard| RoutedService {
                 name: ServiceName::new(format!("shard-{shard}")),
                 connections,
+                warm_up: None,
             })
             .collect();
         let mut warm = BTreeSet::new();
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -115,6 +115,7 @@
         latency_objective: millis(100),
         priority: 0,
         attempts: 2,
+        home_regions: Vec::new(),
     }
 }
 
@@ -149,6 +150,7 @@
     let services = names.into_iter().map(|name| RoutedService {
         name,
         connections: 40,
+        warm_up: None,
     });
     RouteConfiguration {
         version: RouteVersion(version),
--- a/crates/thornbridge-proto/src/peer/slice.rs
+++ b/crates/thornbridge-proto/src/peer/slice.rs
@@ -5,9 +5,9 @@
 //! named. A task comes with one attempt for each shard; the coordinator grants more when it is asked.
 //! A lost message costs its slice, or the second attempts of it: nothing is sent again.
 
-use crate::ServiceName;
 use crate::byte_string::SharedBytes;
 use crate::fingerprint::Fingerprint;
+use crate::{RegionName, ServiceName};
 use serde::{Deserialize, Serialize};
 
 /// Identity of a slice at its coordinator; never used twice by one run of a node.
@@ -46,6 +46,9 @@
     pub second_after_us: u64,
     /// When the slice is over, in microseconds.
     pub ends_in_us: u64,
+    /// Regions outside of which no server may get the request; empty where any may.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub home_regions: Vec<RegionName>,
 }
 
 /// What an owner has of a slice.
--- a/crates/thornbridge-rehearsal/src/gateway/scenario.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/scenario.rs
@@ -228,6 +228,7 @@
         let services = services.map(|name| RoutedService {
             name: name.clone(),
             connections: self.connections,
+            warm_up: None,
         });
         let repeatability = match self.plain_repeatable {
             true => Repeatability::Repeatable,
@@ -251,6 +252,7 @@
                     latency_objective: Duration::from_millis(100),
                     priority: 1,
                     attempts: 2,
+                    home_regions: Vec::new(),
                 },
                 Route {
                     name: "plain".to_owned(),
@@ -262,6 +264,7 @@
                     latency_objective: Duration::from_millis(400),
                     priority: 2,
                     attempts: 2,
+                    home_regions: Vec::new(),
                 },
             ],
             limits: CallerLimits::default(),
