Cold servers get their bound, homes are kept, splits start at a random phase

Cause: nodes sent to cold servers without a bound, to servers of any region, and all of them started the round robin of a split at the same part, so that nodes with few requests each gave a part of small weight nothing.

Change: `servers/cold.rs` divides the bound of a cold server among the members that a process has met, in an order by server; the share is checked and counted at the send. A changed entry, a restart and the end of an evacuation make a server cold. `servers/homes.rs` keeps servers outside of a route's homes out of the choice; a request that cannot be served at home is refused at once. Splits start at a random phase. Without the settings nothing differs, except where splits are configured (one more random draw a route).

Ruled out: draws for shares below one, as in the budget of extra attempts: they grant nothing where 72 members share 9.

Tests: with the checks of the share and of homes taken out, and without the phase, 23 of the 37 new tests failed, among them the sum over a cluster and both shares of splits; with a bound 1.3 times too large 10 failed, with a window of 0.6 s 2, without the check of queued parts the one that guards it. Parts of a split without room were refused before too: those tests never failed.

--- a/crates/thornbridge-core/src/gateway/action.rs
+++ b/crates/thornbridge-core/src/gateway/action.rs
@@ -43,6 +43,8 @@
     NoIdentity,
     /// No server of the service is available.
     NoServer,
+    /// No server in the home regions of the route is available.
+    NoServerAtHome,
     /// The last attempt was rejected by its server without running.
     ServersBusy,
     /// This node has too many requests in flight.
@@ -65,6 +67,7 @@
             Self::NoRoute => "no_route",
             Self::NoIdentity => "no_identity",
             Self::NoServer => "no_server",
+            Self::NoServerAtHome => "no_server_at_home",
             Self::ServersBusy => "servers_busy",
             Self::Overloaded => "overloaded",
             Self::ServersFailed => "servers_failed",
--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -94,6 +94,7 @@
             return Some(forwarded_answer(reply));
         }
         let reason = match part.last_failure {
+            None if request.has_homes() => RefusalReason::NoServerAtHome,
             None => RefusalReason::NoServer,
             Some(AttemptOutcome::NotRun | AttemptOutcome::WrongInstance) => {
                 RefusalReason::ServersBusy
@@ -226,6 +227,7 @@
             notable_attempts,
             attempts_sent: request.parts.iter().map(|part| part.sent as usize).sum(),
             extra_attempts_denied: request.budget_denials,
+            parts_held_back: request.parts.iter().filter(|part| part.held_back).count(),
             caller_try: request.caller_try,
             retry_after,
             coordinator: request.coordinator(),
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -5,7 +5,7 @@
 use super::request::Request;
 use super::{AttemptTarget, Context, Exchanges, is_repeatable};
 use crate::gateway::action::GatewayAction;
-use crate::gateway::servers::{AcquireOutcome, Choice, QueuedPart, ServerKey};
+use crate::gateway::servers::{AcquireOutcome, Choice, QueuedPart, Selection, ServerKey};
 use crate::gateway::telemetry::AttemptCause;
 use std::time::Duration;
 use thornbridge_proto::AttemptId;
@@ -52,10 +52,13 @@
         let Some(choice) = self.choose(context, request, index) else {
             let settling = context.now.since_epoch() < self.parameters.settling;
             let may_wait = settling || request.is_caller_retry();
+            let homes = &request.route.route.home_regions;
             let part = &mut request.parts[index];
-            let evacuated = context.servers.is_evacuated(part.service);
-            let may_register = part.sent == 0 && may_wait && !evacuated;
-            if may_register || context.servers.has_other_server(part.service, &part.tried) {
+            let servers = &context.servers;
+            let evacuated = servers.is_evacuated(part.service);
+            let may_register = part.sent == 0 && may_wait && !evacuated && homes.is_empty();
+            part.held_back |= servers.has_held_back(context.now, part.service, homes);
+            if may_register || servers.has_other_server(part.service, &part.tried, homes) {
                 // A server may register or become reachable.
                 part.check_at = Some(context.now + look_interval * 2);
             } else {
@@ -160,6 +163,7 @@
         };
         server.attempt_sent(context.now, attempt, expected);
         let instance = server.id.clone();
+        context.servers.record_send(context.now, target.server);
         let record = Attempt {
             caller: Some(request.caller),
             part: index,
@@ -199,9 +203,15 @@
         excluded.push(queued_at);
         let work = self.mean_work(context, request);
         let service = request.parts[index].service;
+        let selection = Selection {
+            service,
+            work,
+            excluded: &excluded,
+            homes: &request.route.route.home_regions,
+        };
         let other = context
             .servers
-            .choose(context.now, context.random, service, work, &excluded);
+            .choose(context.now, context.random, &selection);
         request.parts[index].check_at = Some(context.now + interval);
         let needs_charge = request.parts[index].needs_charge(context.now);
         let other = other.filter(|other| {
@@ -239,9 +249,15 @@
     ) -> Option<Choice> {
         let work = self.mean_work(context, request);
         let part = &request.parts[index];
+        let selection = Selection {
+            service: part.service,
+            work,
+            excluded: &part.tried,
+            homes: &request.route.route.home_regions,
+        };
         context
             .servers
-            .choose(context.now, context.random, part.service, work, &part.tried)
+            .choose(context.now, context.random, &selection)
     }
 
     /// Mean work of the route's requests at a server of average speed.
@@ -271,7 +287,8 @@
             let Some(server) = context.servers.get(key) else {
                 return;
             };
-            let accepts_requests = server.takes_requests();
+            let accepts_requests =
+                server.takes_requests() && !context.servers.is_held_back(context.now, server);
             if accepts_requests && server.idle.is_empty() {
                 return;
             }
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -336,29 +336,38 @@
         ResolvedTarget::Service(service) => vec![*service],
         ResolvedTarget::Gather(gather) => gather.shards.clone(),
         ResolvedTarget::Split(parts) => {
-            let index = context.routes.statistics(route.key).next_part(parts);
+            let index = context
+                .routes
+                .statistics(route.key)
+                .next_part(context.random, parts);
             vec![parts[index].0]
         }
     }
 }
 
 /// Reason to refuse a request at once, if too few of its services have a registered server. A
-/// caller's retry waits for servers to register, except in evacuated zones.
+/// caller's retry waits for servers to register, except in evacuated zones and homes.
 fn unservable_reason(
     context: &Context<'_>,
     route: &ResolvedRoute,
     services: &[ServiceKey],
     caller_try: CallerTry,
 ) -> Option<RefusalReason> {
+    let homes = &route.route.home_regions;
     let will_retry = caller_try == CallerTry::First;
-    let served = services.iter().filter(|key| match will_retry {
-        true => context.servers.has_server(**key),
+    let needs_server = will_retry || !homes.is_empty();
+    let served = services.iter().filter(|key| match needs_server {
+        true => context.servers.has_server_at_home(**key, homes),
         false => !context.servers.is_evacuated(**key),
     });
     let (required, reason) = match &route.target {
         ResolvedTarget::Gather(gather) => (gather.min_parts, RefusalReason::TooFewShards),
         ResolvedTarget::Service(_) | ResolvedTarget::Split(_) => (1, RefusalReason::NoServer),
     };
+    let reason = match homes.is_empty() {
+        true => reason,
+        false => RefusalReason::NoServerAtHome,
+    };
     (served.count() < required).then_some(reason)
 }
 
--- a/crates/thornbridge-core/src/gateway/exchange/part.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/part.rs
@@ -58,6 +58,8 @@
     lent_until: Timestamp,
     /// Whether the budget ever denied an extra attempt.
     pub(super) budget_denied: bool,
+    /// Whether the part ever found no server but ones that are held back while cold.
+    pub(super) held_back: bool,
     /// Attempts that other nodes may have sent.
     pub(super) prior_attempts: u32,
     /// Failure of the part that its owner reported.
@@ -82,6 +84,7 @@
             lent: 0,
             lent_until: Timestamp::ZERO,
             budget_denied: false,
+            held_back: false,
             prior_attempts: 0,
             owner_failure: None,
             reported: false,
--- a/crates/thornbridge-core/src/gateway/exchange/request.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -79,6 +79,11 @@
         self.caller_try == CallerTry::Retry
     }
 
+    /// Whether only servers in some regions may get the request.
+    pub(super) fn has_homes(&self) -> bool {
+        !self.route.route.home_regions.is_empty()
+    }
+
     pub(super) fn is_gather(&self) -> bool {
         matches!(self.route.target, ResolvedTarget::Gather(_))
     }
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -161,6 +161,7 @@
             self.report_budget_usage();
             self.open_links();
             self.servers.keep_warm(self.now, &mut self.actions);
+            self.servers.report_cold(self.now, &mut self.actions);
         }
         for request in self.pending.take_expired(self.now) {
             self.refuse_without_configuration(request);
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -53,7 +53,7 @@
 };
 pub use parameters::{
     BudgetParameters, ExchangeParameters, GatewayParameters, QuarantineParameters,
-    RolloutParameters, ServerParameters, SliceParameters, ViewParameters,
+    RolloutParameters, ServerParameters, SliceParameters, ViewParameters, WarmUpBound,
 };
 pub use servers::Placement;
 pub use telemetry::{
@@ -198,7 +198,8 @@
                 parameters.servers.clone(),
                 setup.placement,
                 setup.endpoint.address,
-            ),
+            )
+            .with_other_seeds(has_other_seeds),
             budget: ExtraAttemptBudget::new(parameters.budget.clone(), has_other_seeds, setup.seed),
             exchanges: Exchanges::new(parameters.exchange.clone()),
             quarantine: Quarantine::new(parameters.quarantine.clone()),
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -59,6 +59,15 @@
     }
 }
 
+/// Bound on the requests that a cold server gets in a second, relative to what it bears.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WarmUpBound {
+    /// Requests per request that the server bears.
+    pub overage: f64,
+    /// Requests a second beyond those.
+    pub slack: f64,
+}
+
 /// Parameters of servers, connections and server selection.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
@@ -139,6 +148,8 @@
     pub vanished_unconfirmed: Duration,
     /// Time for which servers count as cold after an evacuation.
     pub cold_after_evacuation: Duration,
+    /// Bound on what cold servers get, of services that tell what these bear; `None` if there is none.
+    pub warm_up_bound: Option<WarmUpBound>,
     /// Samples from which quantiles of the work are taken.
     pub work_samples: usize,
 }
@@ -178,6 +189,7 @@
             vanished_grace: Duration::from_millis(1_800),
             vanished_unconfirmed: Duration::from_millis(2_550),
             cold_after_evacuation: Duration::from_secs(3),
+            warm_up_bound: None,
             work_samples: 256,
         }
     }
--- a/crates/thornbridge-core/src/gateway/routes.rs
+++ b/crates/thornbridge-core/src/gateway/routes.rs
@@ -4,6 +4,8 @@
 use super::caller_try::ObservedTimeouts;
 use super::servers::Servers;
 use super::work::WorkEstimate;
+use rand::Rng;
+use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use thornbridge_config::routes::{Route, RouteConfiguration, RouteTarget, RouteVersion};
@@ -11,6 +13,10 @@
 /// Tolerance for rounding errors in `least_share` times the number of shards.
 const SHARE_TOLERANCE: f64 = 1e-9;
 
+/// Steps among which the start of a split's round robin is drawn, so that nodes with few requests each
+/// do not all begin with the same part.
+const START_PHASES: u32 = 1_000;
+
 /// Identity of a route across configuration versions, assigned per host and prefix.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct RouteKey(pub(super) u64);
@@ -159,11 +165,22 @@
 }
 
 impl RouteStatistics {
-    /// Selects the next part of a split by smooth weighted round robin.
-    pub(super) fn next_part(&mut self, parts: &[(ServiceKey, f64)]) -> usize {
+    /// Selects the next part of a split by smooth weighted round robin from a random phase.
+    pub(super) fn next_part(
+        &mut self,
+        random: &mut Pcg64Mcg,
+        parts: &[(ServiceKey, f64)],
+    ) -> usize {
         if self.current_weights.len() != parts.len() {
             self.current_weights = vec![0.0; parts.len()];
+            for _ in 0..random.random_range(0..START_PHASES) {
+                self.advance_split(parts);
+            }
         }
+        self.advance_split(parts)
+    }
+
+    fn advance_split(&mut self, parts: &[(ServiceKey, f64)]) -> usize {
         let total: f64 = parts.iter().map(|(_, weight)| weight).sum();
         for (current, (_, weight)) in self.current_weights.iter_mut().zip(parts) {
             *current += weight;
--- a/crates/thornbridge-core/src/gateway/servers/choosing.rs
+++ b/crates/thornbridge-core/src/gateway/servers/choosing.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 use std::time::Duration;
+use thornbridge_proto::RegionName;
 
 /// Largest relative jitter added to a cost, so that nodes do not all choose the same server.
 const COST_JITTER: f64 = 0.1;
@@ -18,6 +19,17 @@
 /// Time for a server to accept a connection, beyond the round trip.
 const ACCEPT_TIME: Duration = Duration::from_millis(5);
 
+/// What a server is selected for.
+#[derive(Clone, Copy, Debug)]
+pub(in crate::gateway) struct Selection<'a> {
+    pub(in crate::gateway) service: ServiceKey,
+    /// Usual processing time of the request.
+    pub(in crate::gateway) work: Duration,
+    pub(in crate::gateway) excluded: &'a [ServerKey],
+    /// Regions outside of which no server is eligible; empty if any is.
+    pub(in crate::gateway) homes: &'a [RegionName],
+}
+
 /// A selected server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(in crate::gateway) struct Choice {
@@ -29,47 +41,46 @@
 }
 
 impl Servers {
-    /// Selects the cheapest server of a service that is not in `excluded`.
+    /// Selects the cheapest eligible server.
     ///
-    /// `work` is the usual processing time of the request. Servers outside of this node's subset
-    /// are used only if no server of the subset is reachable.
+    /// Servers outside of this node's subset are used only if no server of the subset is reachable.
     pub(in crate::gateway) fn choose(
         &self,
         now: Timestamp,
         random: &mut Pcg64Mcg,
-        service: ServiceKey,
-        work: Duration,
-        excluded: &[ServerKey],
+        selection: &Selection<'_>,
     ) -> Option<Choice> {
-        let preferred = self.choose_among(now, random, service, work, excluded, true);
-        preferred.or_else(|| self.choose_among(now, random, service, work, excluded, false))
+        let preferred = self.choose_among(now, random, selection, true);
+        preferred.or_else(|| self.choose_among(now, random, selection, false))
     }
 
     fn choose_among(
         &self,
         now: Timestamp,
         random: &mut Pcg64Mcg,
-        service: ServiceKey,
-        work: Duration,
-        excluded: &[ServerKey],
+        selection: &Selection<'_>,
         in_subset: bool,
     ) -> Option<Choice> {
-        let keys = &self.services[service.0 as usize].servers;
+        let keys = &self.services[selection.service.0 as usize].servers;
         let mut best: Option<Choice> = None;
         for key in keys {
-            if excluded.contains(key) {
+            if selection.excluded.contains(key) {
                 continue;
             }
             let Some(server) = self.servers.get(key) else {
                 continue;
             };
-            let eligible = server.in_subset == in_subset && server.takes_requests();
-            if !eligible || !self.is_reachable(now, server) {
+            let eligible = server.in_subset == in_subset
+                && server.takes_requests()
+                && server.is_at_home(selection.homes);
+            if !eligible || !self.is_reachable(now, server) || self.is_held_back(now, server) {
                 continue;
             }
             let silent = server.is_silent(&self.parameters, now);
             let jitter = 1.0 + random.random_range(0.0..COST_JITTER);
-            let cost = self.cost(now, server, work, silent).mul_f64(jitter);
+            let cost = self
+                .cost(now, server, selection.work, silent)
+                .mul_f64(jitter);
             if best.is_none_or(|best| cost < best.cost) {
                 let server = *key;
                 best = Some(Choice {
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -4,8 +4,10 @@
 //! avoided. A draining server gets no new requests.
 
 mod choosing;
+mod cold;
 mod connections;
 mod displacing;
+mod homes;
 mod lifecycle;
 mod queue;
 mod registering;
@@ -16,7 +18,8 @@
 #[allow(dead_code)]
 mod versions;
 
-pub(super) use choosing::Choice;
+pub(super) use choosing::{Choice, Selection};
+pub(super) use cold::ColdShares;
 pub(super) use connections::{AcquireOutcome, Connection};
 pub(super) use lifecycle::ConnectionLoss;
 #[cfg(test)]
@@ -39,7 +42,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use subset::Subset;
-use thornbridge_config::routes::RoutedService;
+use thornbridge_config::routes::{RoutedService, WarmUp};
 use thornbridge_proto::{BackEndId, RegionName, ServiceName, ZoneName};
 
 /// Buckets of the window over which the maximum number of members is taken.
@@ -67,6 +70,8 @@
     servers: Vec<ServerKey>,
     /// Connections that each server accepts from all nodes together, if configured.
     connection_limit: Option<u32>,
+    /// How the servers warm up, if what cold ones get is bounded.
+    warm_up: Option<WarmUp>,
     /// Connections that this node may have to each server, as last computed.
     own_connection_limit: u32,
     /// Owners that connect to the servers, if the service belongs to a group of shards.
@@ -96,6 +101,7 @@
     warm_services: BTreeSet<ServiceKey>,
     /// Zones whose servers get no requests.
     evacuated: BTreeSet<ZoneName>,
+    cold_shares: ColdShares,
 }
 
 impl Servers {
@@ -105,6 +111,7 @@
         own_address: SocketAddr,
     ) -> Self {
         let bucket_duration = parameters.members_memory / MEMBER_WINDOW_BUCKETS;
+        let settling = parameters.settling;
         Self {
             subset: Subset::new(own_address, &placement),
             scarcity: Scarcity::new(parameters.scarcity_window),
@@ -122,6 +129,7 @@
             connections: BTreeMap::new(),
             warm_services: BTreeSet::new(),
             evacuated: BTreeSet::new(),
+            cold_shares: ColdShares::new(own_address, false, settling),
         }
     }
 
@@ -166,6 +174,7 @@
         for service in services {
             let key = self.service_key(&service.name);
             let entry = &mut self.services[key.0 as usize];
+            entry.warm_up = service.warm_up;
             if entry.connection_limit != Some(service.connections) {
                 entry.connection_limit = Some(service.connections);
                 self.subset.invalidate(key);
@@ -207,13 +216,6 @@
         any && staying.all(|server| server.evacuated)
     }
 
-    /// Whether a service has a server that takes requests and is not in `tried`.
-    pub(super) fn has_other_server(&self, service: ServiceKey, tried: &[ServerKey]) -> bool {
-        let keys = &self.services[service.0 as usize].servers;
-        let mut others = keys.iter().filter(|key| !tried.contains(key));
-        others.any(|key| self.get(*key).is_some_and(Server::takes_requests))
-    }
-
     /// Whether a server of the service has an open connection, or only other nodes own the service.
     pub(super) fn is_warm(&self, service: ServiceKey) -> bool {
         let ownership = self.services[service.0 as usize].ownership;
@@ -253,13 +255,17 @@
             true => self.evacuated.insert(zone.clone()),
             false => self.evacuated.remove(zone),
         };
+        let cold_after = self.parameters.cold_after_evacuation;
         let servers = self.servers.values_mut();
         let mut changed = 0;
         for server in servers.filter(|server| server.zone == *zone) {
             changed += 1;
             server.evacuated = evacuated;
             if !evacuated {
-                server.extend_cold_start(now + self.parameters.cold_after_evacuation);
+                let warm_up = self.services[server.service.0 as usize].warm_up;
+                let warm_up = warm_up.map_or(Duration::ZERO, |warm_up| warm_up.duration);
+                server.extend_cold_start(now + cold_after);
+                server.cold.extend(now + cold_after.max(warm_up));
             }
             self.subset.invalidate(server.service);
         }
--- a/crates/thornbridge-core/src/gateway/servers/registering.rs
+++ b/crates/thornbridge-core/src/gateway/servers/registering.rs
@@ -1,11 +1,12 @@
 //! Registry changes: instances that register, restart, drain or vanish.
 
-use super::server::{Availability, Server};
+use super::server::{Availability, Server, cold_left};
 use super::{ServerKey, Servers};
 use crate::gateway::action::GatewayAction;
 use crate::gateway::telemetry::{GatewayChange, ViewOrigin};
 use crate::time::Timestamp;
 use std::collections::VecDeque;
+use std::time::Duration;
 use thornbridge_proto::BackEndId;
 use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
 
@@ -23,12 +24,21 @@
             InstanceState::Ready => Availability::Ready,
             InstanceState::Draining | InstanceState::Held => Availability::Draining,
         };
+        let is_registered = self.by_id.contains_key(&instance.id);
         let known = self.find_run(actions, instance, revision, origin);
+        let has_restarted = is_registered && known.is_none();
         let key = known.unwrap_or_else(|| self.add(now, instance, revision));
+        let least_cold = match has_restarted {
+            true => self.warm_up_time(self.servers[&key].service),
+            false => Duration::ZERO,
+        };
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
         server.revision = revision;
+        server
+            .cold
+            .extend(now + cold_left(instance).max(least_cold));
         if known.is_some() && server.availability == availability {
             return;
         }
@@ -127,6 +137,7 @@
         let distance = self.placement.distance_to(&instance.zone);
         let mut server = Server::new(now, instance, revision, service, distance);
         server.evacuated = self.evacuated.contains(&instance.zone);
+        server.region = self.placement.region_of(&instance.zone).cloned();
         self.servers.insert(key, server);
         self.by_id.insert(instance.id.clone(), key);
         self.services[service.0 as usize].servers.push(key);
--- a/crates/thornbridge-core/src/gateway/servers/server.rs
+++ b/crates/thornbridge-core/src/gateway/servers/server.rs
@@ -1,5 +1,6 @@
 //! State of one server: registration, statistics, connections and in-flight attempts.
 
+use super::cold::ColdState;
 use super::queue::PartQueue;
 use super::rejections::Rejections;
 use crate::driver_action::ConnectionId;
@@ -10,7 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_proto::peer::view::{Instance, StoreRevision};
-use thornbridge_proto::{AttemptId, BackEndId, ServiceName, ZoneName};
+use thornbridge_proto::{AttemptId, BackEndId, RegionName, ServiceName, ZoneName};
 
 /// Largest change of the logarithm of a slowdown by one observation. One slow answer may be a pause;
 /// two in a row indicate a slow server.
@@ -108,6 +109,8 @@
     pub(in crate::gateway) address: SocketAddr,
     pub(in crate::gateway) zone: ZoneName,
     pub(in crate::gateway) distance: Distance,
+    /// Region of the zone, if it is known.
+    pub(super) region: Option<RegionName>,
     /// Requests that the server processes concurrently.
     pub(in crate::gateway) slots: u32,
     pub(in crate::gateway) availability: Availability,
@@ -132,6 +135,8 @@
     /// Whether the log last reported the server as avoided.
     pub(in crate::gateway) avoided: bool,
     cold_until: Timestamp,
+    /// Whether a bound on cold servers applies, and what it leaves.
+    pub(super) cold: ColdState,
     round_trip: Option<Duration>,
     /// Logarithm of the slowdown, and when it was updated.
     log_slowdown: (f64, Timestamp),
@@ -150,6 +155,7 @@
         service: ServiceKey,
         distance: Distance,
     ) -> Self {
+        let cold_until = now + cold_left(instance);
         Self {
             id: instance.id.clone(),
             started_ms: instance.born_ms,
@@ -159,6 +165,7 @@
             address: instance.address,
             zone: instance.zone.clone(),
             distance,
+            region: None,
             slots: instance.slots.max(1),
             availability: Availability::Ready,
             evacuated: false,
@@ -172,7 +179,8 @@
             reconnect_at: now,
             consecutive_connect_failures: 0,
             avoided: false,
-            cold_until: now + Duration::from_millis(u64::from(instance.cold_milliseconds)),
+            cold_until,
+            cold: ColdState::new(cold_until),
             round_trip: None,
             log_slowdown: (0.0, now),
             failure_cost_s: (0.0, now),
@@ -397,6 +405,11 @@
     }
 }
 
+/// Time for which a registry entry tells that its server is cold.
+pub(super) fn cold_left(instance: &Instance) -> Duration {
+    Duration::from_millis(u64::from(instance.cold_milliseconds))
+}
+
 /// Factor by which a value with the given half-life has decayed.
 pub(super) fn decay_factor(age: Duration, half_life: Duration) -> f64 {
     0.5_f64.powf(age.as_secs_f64() / half_life.as_secs_f64().max(1e-6))
--- a/crates/thornbridge-core/src/gateway/telemetry.rs
+++ b/crates/thornbridge-core/src/gateway/telemetry.rs
@@ -155,6 +155,8 @@
     pub attempts_sent: usize,
     /// Number of extra attempts denied by the budget.
     pub extra_attempts_denied: usize,
+    /// Number of parts that found no server but cold ones that are held back.
+    pub parts_held_back: usize,
     /// Whether the request is its caller's first try or a retry.
     pub caller_try: CallerTry,
     /// Time after which a refused caller may retry.
@@ -189,6 +191,7 @@
             notable_attempts: Vec::new(),
             attempts_sent: 0,
             extra_attempts_denied: 0,
+            parts_held_back: 0,
             caller_try: CallerTry::Unknown,
             retry_after: None,
             coordinator: None,
@@ -302,6 +305,17 @@
         /// Cause.
         cause: &'static str,
     },
+    /// Cold servers started or stopped being limited.
+    ColdServers {
+        /// Servers that are limited now.
+        limited: usize,
+        /// Servers that are limited since the last report.
+        begun: usize,
+        /// Servers that are limited no longer.
+        ended: usize,
+        /// Some of the servers that changed.
+        examples: Vec<BackEndId>,
+    },
     /// This node started or stopped reading the store itself.
     StoreReader {
         /// Whether this node reads the store now.
--- a/crates/thornbridge-core/src/gateway/tests/grants.rs
+++ b/crates/thornbridge-core/src/gateway/tests/grants.rs
@@ -283,7 +283,6 @@
     SliceTask {
         attempts: 1,
         ..task(shards, 0)
-        home_regions: Vec::new(),
     }
 }
 
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -2,6 +2,8 @@
 
 mod answers;
 mod budgets;
+mod cold;
+mod cold_shares;
 mod dead_connections;
 mod delays;
 mod displaced;
@@ -11,6 +13,7 @@
 mod freshness;
 mod grants;
 mod hedges;
+mod homes;
 mod pending;
 mod quarantine;
 mod queues;
@@ -23,6 +26,7 @@
 mod slices;
 mod slowdown;
 mod sources;
+mod splits;
 mod subsets;
 mod support;
 mod zone_peers;
--- a/crates/thornbridge-core/src/gateway/tests/slowdown.rs
+++ b/crates/thornbridge-core/src/gateway/tests/slowdown.rs
@@ -2,7 +2,7 @@
 
 use super::support::{instance, millis};
 use crate::gateway::ServerParameters;
-use crate::gateway::servers::{Placement, ServerKey, Servers};
+use crate::gateway::servers::{Placement, Selection, ServerKey, Servers};
 use crate::gateway::telemetry::ViewOrigin;
 use crate::time::Timestamp;
 use rand::SeedableRng;
@@ -46,7 +46,13 @@
         );
         let service = servers.service_key(&ServiceName::new("s"));
         let mut random = Pcg64Mcg::seed_from_u64(1);
-        let choice = servers.choose(now, &mut random, service, WORK, &[]);
+        let selection = Selection {
+            service,
+            work: WORK,
+            excluded: &[],
+            homes: &[],
+        };
+        let choice = servers.choose(now, &mut random, &selection);
         let key = choice.unwrap().server;
         Self { servers, key, now }
     }
--- a/crates/thornbridge-core/src/gateway/tests/subsets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/subsets.rs
@@ -4,7 +4,7 @@
 use crate::driver_action::ConnectionId;
 use crate::gateway::GatewayAction;
 use crate::gateway::ServerParameters;
-use crate::gateway::servers::{AcquireOutcome, MemberLocation, Placement, Servers};
+use crate::gateway::servers::{AcquireOutcome, MemberLocation, Placement, Selection, Servers};
 use crate::gateway::telemetry::ViewOrigin;
 use crate::time::Timestamp;
 use rand::SeedableRng;
@@ -271,7 +271,13 @@
     let work = Duration::from_millis(20);
     let service = node.servers.service_key(&ServiceName::new("shard-0"));
     let mut random = Pcg64Mcg::seed_from_u64(1);
-    let near = node.servers.choose(now, &mut random, service, work, &[]);
+    let selection = Selection {
+        service,
+        work,
+        excluded: &[],
+        homes: &[],
+    };
+    let near = node.servers.choose(now, &mut random, &selection);
     let near = near.unwrap().server;
     let connection = node
         .servers
@@ -279,7 +285,7 @@
     assert!(matches!(connection, AcquireOutcome::Idle(_)));
     let server = node.servers.get_mut(near).unwrap();
     server.attempt_sent(now, AttemptId(1), work);
-    let next = node.servers.choose(now, &mut random, service, work, &[]);
+    let next = node.servers.choose(now, &mut random, &selection);
     assert_ne!(next.unwrap().server, near);
 }
 
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -177,7 +177,10 @@
             placement: Placement {
                 zone: zone.clone(),
                 region: region.clone(),
-                regions: BTreeMap::from([(zone, region)]),
+                regions: BTreeMap::from([
+                    (zone, region),
+                    (ZoneName::new("zone-abroad"), RegionName::new("abroad")),
+                ]),
             },
             seeds: Vec::new(),
             seed: 5,
--- a/crates/thornbridge-node/src/gateway/log_lines.rs
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -172,6 +172,18 @@
             age_ms = millis_or_minus_one(*age);
             "store reader"
         ),
+        GatewayChange::ColdServers {
+            limited,
+            begun,
+            ended,
+            examples,
+        } => log::info!(
+            limited = *limited,
+            begun = *begun,
+            ended = *ended,
+            examples = join_ids(examples).as_str();
+            "cold servers"
+        ),
         GatewayChange::Scarcity {
             scarce,
             refused,
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -64,6 +64,7 @@
     attempts: Counter,
     notable_attempts: Family<AttemptLabels, Counter>,
     extra_attempts_denied: Counter,
+    parts_held_back: Counter,
     missing_parts: Counter,
     slices: Family<SliceLabels, Counter>,
     served_slices: Family<SliceLabels, Counter>,
@@ -101,6 +102,7 @@
             attempts: Counter::default(),
             notable_attempts: Family::default(),
             extra_attempts_denied: Counter::default(),
+            parts_held_back: Counter::default(),
             missing_parts: Counter::default(),
             slices: Family::default(),
             served_slices: Family::default(),
@@ -129,6 +131,8 @@
         registry.register("notable_attempts", notable, self.notable_attempts.clone());
         let denied = "Extra attempts that the budget did not allow";
         registry.register("extra_denied", denied, self.extra_attempts_denied.clone());
+        let held_back = "Parts that found no server but cold ones over their bound";
+        registry.register("held_back", held_back, self.parts_held_back.clone());
         let missing = "Parts that answers left out";
         registry.register("missing_parts", missing, self.missing_parts.clone());
         let slices = "Owners asked for slices of gathers, by how they stood when the gather ended";
@@ -171,6 +175,7 @@
         self.attempts.inc_by(summary.attempts_sent as u64);
         self.extra_attempts_denied
             .inc_by(summary.extra_attempts_denied as u64);
+        self.parts_held_back.inc_by(summary.parts_held_back as u64);
         for slice in &summary.slices {
             let outcome = slice.outcome.as_str().to_owned();
             let labels = SliceLabels { outcome };
@@ -225,6 +230,7 @@
             GatewayChange::OwnersSilent { .. } => "owners_missing",
             GatewayChange::StoreReader { reads: true, .. } => "store_reading",
             GatewayChange::StoreReader { .. } => "store_following",
+            GatewayChange::ColdServers { .. } => "cold_servers",
             GatewayChange::Scarcity { scarce: true, .. } => "connections_scarce",
             GatewayChange::Scarcity { .. } => "connections_plenty",
             GatewayChange::Quarantine { state, .. } => state,
--- a/crates/thornbridge-proto/src/peer/tests.rs
+++ b/crates/thornbridge-proto/src/peer/tests.rs
@@ -1,11 +1,12 @@
 use super::health::{BackEndKey, HealthBatch, HealthChange, HealthFact, PackedFact};
 use super::membership::{MemberBatch, MemberRecord, MemberState};
 use super::quarantine::{CrashRecord, QuarantineMessage};
+use super::slice::{SliceId, SliceTask};
 use super::view::{RegistryDelta, StoreRevision, ViewMessage};
 use super::{PeerEndpoint, PeerMessage};
 use crate::back_end::Readiness;
 use crate::fingerprint::Fingerprint;
-use crate::{BackEndId, Incarnation, NodeId, frame};
+use crate::{BackEndId, Incarnation, NodeId, RegionName, ServiceName, frame};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 
@@ -152,3 +153,58 @@
     assert_eq!(of_the_store.as_displaced(), None);
     assert_eq!(RegistryDelta::of_displaced(Vec::new()), None);
 }
+
+/// A slice task as earlier builds have it.
+#[derive(Debug, PartialEq, serde::Serialize, serde::Deserialize)]
+struct EarlierTask {
+    slice: SliceId,
+    request_id: String,
+    fingerprint: Fingerprint,
+    host: String,
+    prefix: String,
+    version: u64,
+    shards: Vec<ServiceName>,
+    records: u32,
+    attempts: u32,
+    prior_attempts: u32,
+    objective_us: u64,
+    report_in_us: u64,
+    second_after_us: u64,
+    ends_in_us: u64,
+}
+
+fn task_with_homes(home_regions: Vec<RegionName>) -> SliceTask {
+    SliceTask {
+        slice: SliceId(7),
+        request_id: "request".to_owned(),
+        fingerprint: Fingerprint::default(),
+        host: "host".to_owned(),
+        prefix: "/search/".to_owned(),
+        version: 1,
+        shards: vec![ServiceName::new("s")],
+        records: 2,
+        attempts: 2,
+        prior_attempts: 0,
+        objective_us: 200_000,
+        report_in_us: 100_000,
+        second_after_us: 50_000,
+        ends_in_us: 900_000,
+        home_regions,
+    }
+}
+
+#[test]
+fn task_without_homes_has_the_bytes_of_earlier_builds() {
+    let task = task_with_homes(Vec::new());
+    let encoded = frame::encode(&task).unwrap();
+    let earlier: EarlierTask = frame::decode(&encoded).unwrap();
+    assert_eq!(frame::encode(&earlier).unwrap(), encoded);
+    assert_eq!(frame::decode::<SliceTask>(&encoded).unwrap(), task);
+}
+
+#[test]
+fn homes_of_a_task_come_out_of_a_frame_as_they_went_in() {
+    let task = task_with_homes(vec![RegionName::new("south")]);
+    let encoded = frame::encode(&task).unwrap();
+    assert_eq!(frame::decode::<SliceTask>(&encoded).unwrap(), task);
+}
