Members that are leaving have a share of the bound of cold servers too

Cause: a node that joined while another was leaving did not count that one, which still sends. Change: shares go to all members met, in whatever state, not only to those that accept work.

--- a/crates/thornbridge-core/src/gateway/members.rs
+++ b/crates/thornbridge-core/src/gateway/members.rs
@@ -93,6 +93,8 @@
         self.slices.set_members(accepting_members.clone());
         self.slices_outdated = true;
         self.servers.set_members(self.now, accepting_members);
+        let addresses = view.members().iter().map(|member| member.endpoint.address);
+        self.servers.meet_members(self.now, addresses);
         if members != self.members {
             self.members = members;
             let change = GatewayChange::Members { members };
--- a/crates/thornbridge-core/src/gateway/servers/cold.rs
+++ b/crates/thornbridge-core/src/gateway/servers/cold.rs
@@ -160,6 +160,16 @@
         self
     }
 
+    /// Adds members, whatever their state, to those that have shares in the bounds.
+    pub(in crate::gateway) fn meet_members(
+        &mut self,
+        now: Timestamp,
+        members: impl Iterator<Item = SocketAddr>,
+    ) {
+        let settling = self.parameters.settling;
+        self.cold_shares.meet(now, settling, members);
+    }
+
     /// Requests in a window that all nodes may send to a cold server of a service; `None` if it is not
     /// bounded.
     fn divided_bound(&self, service: ServiceKey) -> Option<u32> {
--- a/crates/thornbridge-core/src/gateway/servers/subset.rs
+++ b/crates/thornbridge-core/src/gateway/servers/subset.rs
@@ -70,9 +70,6 @@
     /// Sets the members, this node included, that share the servers' connections.
     pub(in crate::gateway) fn set_members(&mut self, now: Timestamp, members: Vec<MemberLocation>) {
         self.members.observe(now, members.len().max(1) as u64);
-        let addresses = members.iter().map(|member| member.address);
-        let settling = self.parameters.settling;
-        self.cold_shares.meet(now, settling, addresses);
         let own_node = self.subset.own_node;
         let mut nodes: Vec<SubsetNode> = members
             .into_iter()
--- a/crates/thornbridge-core/src/gateway/tests/cold.rs
+++ b/crates/thornbridge-core/src/gateway/tests/cold.rs
@@ -238,3 +238,13 @@
     harness.advance(millis(600));
     assert_eq!(harness.sent_for(caller).len(), 1);
 }
+
+#[test]
+fn members_out_of_sight_keep_their_share_of_the_bound() {
+    let mut harness = serving(bounded(), vec![entry("s1", 10, LONG_MS)]);
+    harness.add_peers(DIVIDED as u8);
+    // The peers answer no probe.
+    harness.advance(Duration::from_secs(60));
+    assert_eq!(harness.gateway.members(), 1);
+    assert!(send_to(&mut harness, "s1", 30) <= 1);
+}
--- a/crates/thornbridge-core/src/gateway/tests/cold_shares.rs
+++ b/crates/thornbridge-core/src/gateway/tests/cold_shares.rs
@@ -3,7 +3,7 @@
 //! Every node sends whenever it may. The oracle counts what arrives at the server in each second.
 
 use super::support::instance;
-use crate::gateway::servers::{ColdShares, MemberLocation, Placement, Selection, Servers};
+use crate::gateway::servers::{ColdShares, Placement, Selection, Servers};
 use crate::gateway::telemetry::{GatewayChange, ViewOrigin};
 use crate::gateway::{GatewayAction, ServerParameters, WarmUpBound};
 use crate::time::Timestamp;
@@ -129,13 +129,9 @@
             if node.is_cut_off || at_ms - node.started_ms < JOINED_MS {
                 continue;
             }
-            let all = (0..self.nodes.len()).map(|other| MemberLocation {
-                address: address(other),
-                zone: ZoneName::new("zone"),
-            });
+            let all = (0..self.nodes.len()).map(address);
             let now = self.local(number, at_ms);
-            let members = all.collect();
-            self.nodes[number].servers.set_members(now, members);
+            self.nodes[number].servers.meet_members(now, all);
             self.nodes[number].has_joined = true;
         }
     }
@@ -146,13 +142,9 @@
             return;
         }
         let kept = self.random.random_range(0..3);
-        let others = (0..kept).map(|other| MemberLocation {
-            address: address(other),
-            zone: ZoneName::new("zone"),
-        });
-        let others = others.collect();
         let now = self.local(number, at_ms);
-        self.nodes[number].servers.set_members(now, others);
+        let servers = &mut self.nodes[number].servers;
+        servers.meet_members(now, (0..kept).map(address));
     }
 
     fn send_where_allowed(&mut self, number: usize, at_ms: u64) {
