--- a/crates/thornbridge-core/src/gateway/servers/registering.rs
+++ b/crates/thornbridge-core/src/gateway/servers/registering.rs
@@ -1,11 +1,12 @@
 //! Registry changes: instances that register, restart, drain or vanish.
 
-use super::server::{Availability, Server};
+use super::server::{Availability, Server, cold_left};
 use super::{ServerKey, Servers};
 use crate::gateway::action::GatewayAction;
 use crate::gateway::telemetry::{GatewayChange, ViewOrigin};
 use crate::time::Timestamp;
 use std::collections::VecDeque;
+use std::time::Duration;
 use thornbridge_proto::BackEndId;
 use thornbridge_proto::peer::view::{Instance, InstanceState, StoreRevision};
 
@@ -23,13 +24,22 @@
             InstanceState::Ready => Availability::Ready,
             InstanceState::Draining | InstanceState::Held => Availability::Draining,
         };
+        let is_registered = self.by_id.contains_key(&instance.id);
         let known = self.find_run(actions, instance, revision, origin);
+        let has_restarted = is_registered && known.is_none();
         let key = known.unwrap_or_else(|| self.add(now, instance, revision));
         self.update_version(key, instance);
+        let least_cold = match has_restarted {
+            true => self.warm_up_time(self.servers[&key].service),
+            false => Duration::ZERO,
+        };
         let Some(server) = self.servers.get_mut(&key) else {
             return;
         };
         server.revision = revision;
+        server
+            .cold
+            .extend(now + cold_left(instance).max(least_cold));
         if known.is_some() && server.availability == availability {
             return;
         }
@@ -133,6 +143,7 @@
         server.evacuated = self.evacuated.contains(&instance.zone);
         let roles = &self.services[service.0 as usize].roles;
         server.role = roles.role_of(&server.version);
+        server.region = self.placement.region_of(&instance.zone).cloned();
         self.servers.insert(key, server);
         self.by_id.insert(instance.id.clone(), key);
         self.services[service.0 as usize].servers.push(key);
--- a/crates/thornbridge-core/src/gateway/tests/support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/support.rs
@@ -115,6 +115,7 @@
         latency_objective: millis(100),
         priority: 0,
         attempts: 2,
+        home_regions: Vec::new(),
     }
 }
 
@@ -149,6 +150,7 @@
     let services = names.into_iter().map(|name| RoutedService {
         name,
         connections: 40,
+        warm_up: None,
     });
     RouteConfiguration {
         version: RouteVersion(version),
@@ -175,7 +177,10 @@
             placement: Placement {
                 zone: zone.clone(),
                 region: region.clone(),
-                regions: BTreeMap::from([(zone, region)]),
+                regions: BTreeMap::from([
+                    (zone, region),
+                    (ZoneName::new("zone-abroad"), RegionName::new("abroad")),
+                ]),
             },
             seeds: Vec::new(),
             seed: 5,
--- a/crates/thornbridge-node/src/peers/tests.rs
+++ b/crates/thornbridge-node/src/peers/tests.rs
@@ -47,6 +47,7 @@
         report_in_us: 0,
         second_after_us: 0,
         ends_in_us: 0,
+        home_regions: Vec::new(),
     };
     let request = Vec::new().into();
     PeerMessage::Slice(SliceMessage::Ask { task, request })
