Roll-outs: a node that first knows the orders tells peers, also if there are none

Cause: that nothing is ordered spread only by questions, one a second; of 16 nodes that started together some did not know after 2 s, and were ready only at the end of the warm-up time. Seen failing by nodes_that_start_together_soon_know_that_nothing_is_ordered before the change.

--- a/crates/thornbridge-core/src/gateway/rollouts/control.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/control.rs
@@ -173,10 +173,14 @@
     ) {
         let was_unknown = self.orders.at().is_none();
         let changed = self.orders.merge(context.now, orders, at);
-        if was_unknown && self.orders.at().is_some() {
+        let is_first = was_unknown && self.orders.at().is_some();
+        if is_first {
             self.refresh_all_roles(context);
         }
-        self.orders_changed(context, changed);
+        self.orders_changed(context, &changed);
+        if is_first && changed.is_empty() {
+            self.push_orders(context);
+        }
     }
 
     /// Applies changes of orders.
@@ -187,16 +191,12 @@
         at: StoreRevision,
     ) {
         let changed = self.orders.apply(context.now, updates, at);
-        self.orders_changed(context, changed);
+        self.orders_changed(context, &changed);
     }
 
     /// Follows changes of orders and tells peers.
-    pub(super) fn orders_changed(
-        &mut self,
-        context: &mut Context<'_>,
-        changed: BTreeSet<ServiceName>,
-    ) {
-        for service in &changed {
+    fn orders_changed(&mut self, context: &mut Context<'_>, changed: &BTreeSet<ServiceName>) {
+        for service in changed {
             self.order_changed(context, service);
         }
         if !changed.is_empty() {
--- a/crates/thornbridge-core/src/gateway/rollouts/messages.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/messages.rs
@@ -62,8 +62,7 @@
         if self.asks() {
             self.ask(context, peer);
         }
-        let is_empty = self.orders.iter().next().is_none();
-        if !is_empty {
+        if self.orders.at().is_some() {
             self.send_orders(context, peer);
         }
     }
--- a/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
@@ -92,8 +92,8 @@
     pub isolated: BTreeSet<usize>,
     /// Peer messages other than those of membership and views, by sender.
     pub sent: Vec<(usize, SocketAddr, PeerMessage)>,
-    /// Kinds of views that were read.
-    pub reads: BTreeSet<&'static str>,
+    /// Reads of views, with the nodes that read them.
+    pub reads: Vec<(ViewKind, usize)>,
     now: Timestamp,
     events: Vec<(usize, GatewayEvent)>,
     watches: Vec<Watch>,
@@ -133,7 +133,7 @@
             down: BTreeSet::new(),
             isolated: BTreeSet::new(),
             sent: Vec::new(),
-            reads: BTreeSet::new(),
+            reads: Vec::new(),
             now: Timestamp::ZERO,
             events: Vec::new(),
             watches: Vec::new(),
@@ -261,7 +261,7 @@
     }
 
     fn read(&mut self, node: usize, kind: ViewKind, read: u64, what: SourceRead) {
-        self.reads.insert(kind.as_str());
+        self.reads.push((kind, node));
         match what {
             SourceRead::List { .. } => {
                 let result = Ok(self.store.list(kind));
@@ -389,6 +389,12 @@
         }
     }
 
+    /// Nodes that read a view, one entry a read.
+    pub fn readers_of(&self, view: ViewKind) -> Vec<usize> {
+        let reads = self.reads.iter().filter(|(kind, _)| *kind == view);
+        reads.map(|(_, node)| *node).collect()
+    }
+
     /// Nodes by their rank as conductor of a service, the first one first.
     pub fn ranking(&self, service: &str) -> Vec<usize> {
         let hash = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
--- a/crates/thornbridge-core/src/gateway/tests/rollout_peers.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_peers.rs
@@ -4,6 +4,7 @@
 use super::support::{Harness, configuration, instance, millis, route, service};
 use crate::gateway::servers::{VersionRole, VersionRoles};
 use crate::gateway::{GatewayEvent, GatewayParameters, ViewKind, ViewObject};
+use std::collections::BTreeSet;
 use thornbridge_config::routes::Repeatability;
 use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::quarantine::{CrashRecord, QuarantineMessage};
@@ -54,7 +55,7 @@
     cluster.store.register("s-2", "s", "new");
     cluster.store.order("s", "new");
     cluster.run(millis(5_000));
-    assert!(!cluster.reads.contains(ViewKind::Rollouts.as_str()));
+    assert_eq!(cluster.readers_of(ViewKind::Rollouts), Vec::<usize>::new());
     assert_eq!(cluster.sent, Vec::new());
     assert_eq!(cluster.store.writes, Vec::new());
     assert_eq!(cluster.roles(0, "s"), VersionRoles::default());
@@ -227,3 +228,37 @@
     harness.advance(millis(300));
     assert!(harness.gateway.ready);
 }
+
+#[test]
+fn nodes_that_start_together_soon_know_that_nothing_is_ordered() {
+    let mut cluster = Cluster::with_enabled(16, true);
+    cluster.run(millis(2_000));
+    let unaware: Vec<usize> = (0..16)
+        .filter(|node| !cluster.nodes[*node].rollouts.has_orders())
+        .collect();
+    assert_eq!(unaware, Vec::<usize>::new());
+}
+
+#[test]
+fn orders_are_read_by_the_nodes_that_read_the_registry() {
+    let mut cluster = Cluster::with_enabled(5, true);
+    cluster.run(millis(5_000));
+    cluster.reads.clear();
+    cluster.run(millis(6_000));
+    let nodes = |view| BTreeSet::from_iter(cluster.readers_of(view));
+    assert_eq!(nodes(ViewKind::Rollouts), nodes(ViewKind::Registry));
+}
+
+#[test]
+fn orders_are_read_less_often_than_the_registry() {
+    let mut cluster = Cluster::with_enabled(5, true);
+    cluster.run(millis(5_000));
+    cluster.reads.clear();
+    cluster.run(millis(6_000));
+    let orders = cluster.readers_of(ViewKind::Rollouts).len();
+    let registry = cluster.readers_of(ViewKind::Registry).len();
+    assert!(
+        orders * 2 < registry,
+        "{orders} reads, {registry} of the registry"
+    );
+}
