--- a/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
@@ -35,10 +35,10 @@
         let Some(rollout) = self.active.get_mut(service) else {
             return self.answer(&report.order, false, Permits::default());
         };
-        rollout.reported(context.now, from);
         if rollout.id != report.order || rollout.own_rank.is_none() {
             return self.answer(&report.order, false, Permits::default());
         }
+        rollout.reported(context.now, from);
         if self.hands_over(context.now, service) {
             return self.answer(&report.order, false, Permits::default());
         }
--- a/crates/thornbridge-core/src/gateway/rollouts/control.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/control.rs
@@ -97,8 +97,11 @@
             context.servers.set_version_roles(*service, roles);
         }
         let members = std::mem::take(&mut self.members);
+        let peers = std::mem::take(&mut self.peers);
         *self = Self {
             members,
+            peers,
+            next_write: self.next_write,
             ..Self::new(self.parameters.clone(), self.own)
         };
     }
--- a/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
@@ -219,6 +219,11 @@
         }
     }
 
+    /// Delivers an event to a node at once.
+    pub fn deliver(&mut self, node: usize, event: GatewayEvent) {
+        self.handle(node, event);
+    }
+
     fn handle(&mut self, node: usize, event: GatewayEvent) {
         if self.down.contains(&node) {
             return;
--- a/crates/thornbridge-core/src/gateway/tests/rollout_peers.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_peers.rs
@@ -4,11 +4,14 @@
 use super::support::{Harness, configuration, instance, millis, route, service};
 use crate::gateway::servers::{VersionRole, VersionRoles};
 use crate::gateway::{GatewayEvent, GatewayParameters, ViewKind, ViewObject};
+use assert_matches::assert_matches;
 use std::collections::BTreeSet;
 use thornbridge_config::routes::Repeatability;
 use thornbridge_proto::fingerprint::Fingerprint;
 use thornbridge_proto::peer::quarantine::{CrashRecord, QuarantineMessage};
-use thornbridge_proto::peer::rollout::{RolloutMessage, RolloutOrders, RolloutState};
+use thornbridge_proto::peer::rollout::{
+    RolloutGrant, RolloutMessage, RolloutOrders, RolloutReport, RolloutState,
+};
 use thornbridge_proto::peer::view::{InstanceState, StoreRevision};
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
 use thornbridge_proto::{NodeId, ServiceName};
@@ -147,6 +150,50 @@
     assert_eq!(cluster.roles(0, "s"), VersionRoles::default());
 }
 
+#[test]
+fn node_that_enables_roll_outs_again_learns_the_orders() {
+    let mut cluster = ordered();
+    let disabled = GatewayParameters::default();
+    let mut enabled = disabled.clone();
+    enabled.rollouts.enabled = true;
+    for parameters in [disabled, enabled] {
+        let parameters = Box::new(parameters);
+        let gateway = &mut cluster.nodes[0];
+        gateway.handle(gateway.now, GatewayEvent::Reconfigured { parameters });
+    }
+    cluster.run(millis(2_500));
+    assert_eq!(cluster.roles(0, "s"), trial_roles());
+}
+
+#[test]
+fn report_for_a_former_order_is_refused_with_the_current_one() {
+    let mut cluster = ordered();
+    let former = cluster.empty_grant(0).order;
+    cluster.store.order("s", "newer");
+    cluster.run(millis(1_500));
+    let report = RolloutReport {
+        order: former.clone(),
+        routes: Vec::new(),
+    };
+    let message = PeerMessage::Rollout(RolloutMessage::Report(report));
+    let from = endpoint(1);
+    cluster.sent.clear();
+    cluster.deliver(0, GatewayEvent::PeerMessage { from, message });
+    let sent = cluster.sent.iter().filter(|(node, ..)| *node == 0);
+    let messages: Vec<&PeerMessage> = sent.map(|(_, _, message)| message).collect();
+    assert_matches!(
+        messages[..],
+        [
+            PeerMessage::Rollout(RolloutMessage::Grant(RolloutGrant {
+                conducts: false,
+                decision: None,
+                ..
+            })),
+            PeerMessage::Rollout(RolloutMessage::Orders(_)),
+        ]
+    );
+}
+
 #[test]
 fn orders_of_an_implausible_era_are_ignored() {
     let mut cluster = ordered();
