--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -19,6 +19,7 @@
 mod retries;
 mod rollout_cluster;
 mod rollout_failures;
+mod rollout_fixtures;
 mod rollout_peers;
 mod rollout_soak;
 mod rollout_store;
--- a/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
@@ -3,7 +3,7 @@
 use super::rollout_store::{Store, StoreWrite};
 use super::support::millis;
 use crate::gateway::rollouts::trials::Arm;
-use crate::gateway::servers::{VersionRole, VersionRoles};
+use crate::gateway::servers::VersionRoles;
 use crate::gateway::{
     Gateway, GatewayAction, GatewayEvent, GatewayParameters, GatewaySetup, Placement,
     SourceFailure, SourceRead, SourceReply, StateWriteReply, ViewKind,
@@ -12,67 +12,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
-use thornbridge_proto::peer::rollout::{RolloutGrant, RolloutMessage, RolloutState};
+use thornbridge_proto::peer::rollout::{RolloutGrant, RolloutState};
 use thornbridge_proto::peer::view::StoreRevision;
 use thornbridge_proto::peer::{PeerEndpoint, PeerMessage};
-use thornbridge_proto::{NodeId, NodeName, RegionName, ServerVersion, ServiceName, ZoneName};
+use thornbridge_proto::{NodeId, NodeName, RegionName, ServiceName, ZoneName};
 
 /// Time between steps of the cluster; messages take one step.
 const STEP: Duration = Duration::from_millis(5);
 /// Time until the members know each other.
 const JOINING: Duration = Duration::from_secs(3);
-/// Outcomes, good and bad, of requests in a quarter of a second at each node.
-pub const GOOD: [u32; 2] = [2, 0];
-pub const BAD: [u32; 2] = [0, 2];
-pub const STABLE: [u32; 2] = [10, 0];
-
-/// Three nodes and an order for a service with servers of both versions.
-pub fn ordered() -> Cluster {
-    let mut cluster = Cluster::start(3, &["s"]);
-    cluster.store.order("s", "new");
-    cluster.store.register("s-3", "s", "new");
-    cluster.run(millis(1_000));
-    cluster
-}
-
-pub fn trial_roles() -> VersionRoles {
-    VersionRoles {
-        established: version("old"),
-        trial: version("new"),
-        ..VersionRoles::default()
-    }
-}
-
-pub fn rejected_roles() -> VersionRoles {
-    VersionRoles {
-        established: version("old"),
-        rejected: version("new"),
-        ..VersionRoles::default()
-    }
-}
-
-pub fn role_at(cluster: &Cluster, node: usize, service: &str, of: &str) -> VersionRole {
-    let roles = cluster.roles(node, service);
-    roles.role_of(&ServerVersion::new(of))
-}
-
-/// Grant that tells a node of another node's decision.
-pub fn grant_event(
-    cluster: &Cluster,
-    node: usize,
-    from: usize,
-    decision: Option<RolloutState>,
-) -> GatewayEvent {
-    let grant = RolloutGrant {
-        decision,
-        ..cluster.empty_grant(node)
-    };
-    GatewayEvent::PeerMessage {
-        from: endpoint(from),
-        message: PeerMessage::Rollout(RolloutMessage::Grant(grant)),
-    }
-}
-
 /// Watch without a result yet.
 struct Watch {
     node: usize,
@@ -416,7 +364,3 @@
         done.map(|write| write.node).collect()
     }
 }
-
-pub fn version(name: &str) -> Option<ServerVersion> {
-    Some(ServerVersion::new(name))
-}
--- a/crates/thornbridge-core/src/gateway/tests/rollout_failures.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_failures.rs
@@ -1,7 +1,8 @@
 //! Roll-outs under failures of nodes and of the store.
 
-use super::rollout_cluster::{
-    BAD, Cluster, GOOD, STABLE, grant_event, ordered, rejected_roles, role_at, trial_roles,
+use super::rollout_cluster::Cluster;
+use super::rollout_fixtures::{
+    BAD, GOOD, STABLE, grant_event, ordered, rejected_roles, role_at, trial_roles,
 };
 use super::support::millis;
 use crate::gateway::servers::VersionRole;
--- a/crates/thornbridge-core/src/gateway/tests/rollout_peers.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_peers.rs
@@ -1,6 +1,7 @@
 //! Roll-outs: messages between peers, permits, and nodes that know nothing yet.
 
-use super::rollout_cluster::{BAD, Cluster, GOOD, STABLE, endpoint, ordered, role_at, trial_roles};
+use super::rollout_cluster::{Cluster, endpoint};
+use super::rollout_fixtures::{BAD, GOOD, STABLE, ordered, role_at, trial_roles};
 use super::support::{Harness, configuration, instance, millis, route, service};
 use crate::gateway::servers::{VersionRole, VersionRoles};
 use crate::gateway::{GatewayEvent, GatewayParameters, ViewKind, ViewObject};
--- a/crates/thornbridge-core/src/gateway/tests/rollout_soak.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_soak.rs
@@ -1,6 +1,7 @@
 //! Roll-outs under random failures, with fixed seeds.
 
-use super::rollout_cluster::{Cluster, STABLE, role_at};
+use super::rollout_cluster::Cluster;
+use super::rollout_fixtures::{STABLE, role_at};
 use super::support::millis;
 use crate::gateway::servers::VersionRole;
 use rand::{Rng, SeedableRng};
--- a/crates/thornbridge-core/src/gateway/tests/rollouts.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollouts.rs
@@ -1,8 +1,7 @@
 //! Roll-outs: orders, version roles and decisions.
 
-use super::rollout_cluster::{
-    BAD, Cluster, GOOD, STABLE, ordered, rejected_roles, role_at, trial_roles,
-};
+use super::rollout_cluster::Cluster;
+use super::rollout_fixtures::{BAD, GOOD, STABLE, ordered, rejected_roles, role_at, trial_roles};
 use super::support::millis;
 use crate::gateway::servers::{VersionRole, VersionRoles};
 use thornbridge_proto::ServiceName;
