--- a/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
@@ -85,15 +85,16 @@
 impl Conductor {
     /// Starts without permits to spend: they are earned by reported requests.
     pub(in crate::gateway) fn new(parameters: RolloutParameters, timing: Timing) -> Self {
+        let schedule = Schedule::new(timing);
         Self {
             ledger: Ledger::new(&parameters),
-            schedule: Schedule::new(timing),
+            decision_due: schedule.earliest_due(),
+            schedule,
             pace: Pace::new(),
             reuse: Reuse::new(lifetime_bounds(&parameters)),
             totals: ReportedTotals::default(),
             verdict: Verdict::new(),
             instances: Vec::new(),
-            decision_due: timing.ordered_at + timing.period,
             decision: None,
         }
     }
@@ -101,7 +102,7 @@
     /// Adopts an earlier time of the order, learnt from another node.
     pub(in crate::gateway) fn set_ordered_at(&mut self, ordered_at: Timestamp) {
         self.schedule.set_ordered_at(ordered_at);
-        self.decision_due = self.decision_due.min(self.schedule.deadline());
+        self.decision_due = self.decision_due.min(self.schedule.earliest_due());
     }
 
     /// Adds the sample's part of the slack. Called at most once for each order in all nodes
--- a/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
@@ -72,6 +72,11 @@
         self.requests.sum(now) as f64 / time.as_secs_f64()
     }
 
+    /// When a decision may be due at the earliest.
+    pub(super) fn earliest_due(&self) -> Timestamp {
+        self.timing.ordered_at + self.sampling_time()
+    }
+
     /// When to decide, if the new version may get `completion_total` requests from then to the deadline.
     pub(super) fn decision_due(&mut self, now: Timestamp, completion_total: f64) -> Timestamp {
         let due = self.deadline() - self.lead(now, completion_total);
@@ -86,7 +91,7 @@
 
     /// Time until sampling ends.
     pub(super) fn remaining(&self, now: Timestamp) -> Duration {
-        (self.timing.ordered_at + self.sampling_time()).since(now)
+        self.earliest_due().since(now)
     }
 
     /// Part of the sample that is released by the end of the current round.
--- a/crates/thornbridge-core/src/gateway/rollouts/tests/conductor.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/conductor.rs
@@ -61,6 +61,17 @@
     assert_eq!(decided(&mut conductor, LATE_MS), Some(expected));
 }
 
+#[test]
+fn conductor_without_reports_decides_before_the_deadline() {
+    let mut conductor = new_conductor();
+    let mut decided_at = at_ms(0);
+    while let Some(timeout) = conductor.next_timeout() {
+        decided_at = timeout;
+        conductor.decide(timeout);
+    }
+    assert!(decided_at < at_ms(12_000), "{decided_at:?}");
+}
+
 #[test]
 fn too_few_answers_do_not_complete() {
     let mut conductor = new_conductor();
