A used loan is renewed as a lapsed one is

Change: an owner whose lent attempt was rejected asks for another one, too, and asks again only if the last answer lent one.

--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -135,7 +135,7 @@
             part.set_charged(context.now);
             return true;
         }
-        if part.drop_lapsed_loans(context.now) {
+        if part.loan_is_missing() {
             request.request_renewal();
         }
         request.budget_denials += 1;
--- a/crates/thornbridge-core/src/gateway/exchange/part.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/part.rs
@@ -56,6 +56,8 @@
     /// Unused extra attempts paid for by the coordinator.
     lent: u32,
     lent_until: Timestamp,
+    /// Whether the coordinator has lent an attempt since it was last asked to.
+    may_renew: bool,
     /// Whether the budget ever denied an extra attempt.
     pub(super) budget_denied: bool,
     /// Whether the part ever found no server but ones that are held back while cold.
@@ -85,6 +87,7 @@
             failed_reply: None,
             lent: 0,
             lent_until: Timestamp::ZERO,
+            may_renew: false,
             budget_denied: false,
             held_back: false,
             prior_attempts: 0,
@@ -138,6 +141,7 @@
     pub(super) fn lend(&mut self, now: Timestamp) {
         self.lent += 1;
         self.lent_until = now + CHARGE_LIFETIME;
+        self.may_renew = true;
     }
 
     /// Whether the next attempt is an extra one that the budget must be charged for.
@@ -172,13 +176,11 @@
         available
     }
 
-    /// Drops lent attempts whose charge has lapsed; returns whether there were any.
-    pub(super) fn drop_lapsed_loans(&mut self, now: Timestamp) -> bool {
-        let lapsed = self.lent > 0 && now > self.lent_until;
-        if lapsed {
-            self.lent = 0;
-        }
-        lapsed
+    /// Notes that no lent attempt is usable; returns whether to ask for another one. A coordinator that
+    /// did not lend one when last asked is not asked again.
+    pub(super) fn loan_is_missing(&mut self) -> bool {
+        self.lent = 0;
+        std::mem::take(&mut self.may_renew)
     }
 
     /// Attempts that ran or may have run.
--- a/crates/thornbridge-core/src/gateway/exchange/reports.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/reports.rs
@@ -138,7 +138,7 @@
 }
 
 /// Grants an owner all remaining attempts, or none if another owner may have used them. An owner that
-/// asks again has them already, and gets attempts lent in place of those whose charge lapsed.
+/// asks again has them already, and gets attempts lent in place of those that lapsed or were used.
 fn grant_attempts(context: &mut Context<'_>, request: &mut Request, sender: &Sender) {
     let max_attempts = request.max_attempts;
     let slice = &mut request.slices[sender.index];
--- a/crates/thornbridge-core/src/gateway/exchange/request.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/request.rs
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Schedules a request for lent attempts in place of those that lapsed.
+    /// Schedules a request for lent attempts in place of those that lapsed or were used.
     pub(super) fn request_renewal(&mut self) {
         if let Origin::Coordinator(coordinator) = &mut self.origin
             && coordinator.grant == GrantState::Settled
