Roll-outs joined: roles take effect, an uninformed conductor waits

A member that conducts without reports decides by the end of the time allowed at the earliest, plus its rank's delay, unless it found the version worse: the informed conductor of a busy service decides shortly before the end, and a member that had begun to conduct after all nodes were killed rejected a good version 1.2 s before it. Found by trial_goes_on_after_all_nodes_were_killed with the real conductor.

--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -31,7 +31,6 @@
 mod pending;
 mod quarantine;
 mod rollout_updates;
-#[allow(dead_code)]
 mod rollouts;
 mod routes;
 mod servers;
--- a/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
@@ -151,7 +151,8 @@
     }
 
     fn decide(&mut self, context: &mut Context<'_>, service: &ServiceName) {
-        let Some(rollout) = self.active.get_mut(service) else {
+        let (Some(rollout), Some(order)) = (self.active.get_mut(service), self.orders.get(service))
+        else {
             return;
         };
         if rollout.decides_from() > context.now {
@@ -161,6 +162,9 @@
         let Some(decision) = conductor.and_then(|conductor| conductor.decide(context.now)) else {
             return;
         };
+        if !rollout.may_decide(context.now, order, &decision) {
+            return;
+        }
         rollout.decide(context.now, &decision);
         self.log_decision(context, service, &decision);
         self.refresh_roles(context, service);
--- a/crates/thornbridge-core/src/gateway/rollouts/orders.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/orders.rs
@@ -136,11 +136,6 @@
         self.orders.get_mut(service)
     }
 
-    /// All orders, by service.
-    pub(in crate::gateway) fn iter(&self) -> impl Iterator<Item = (&ServiceName, &KnownOrder)> {
-        self.orders.iter()
-    }
-
     /// Wire form of all orders.
     pub(in crate::gateway) fn to_wire(&self, now: Timestamp) -> Vec<RolloutOrder> {
         self.orders
--- a/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
@@ -132,6 +132,18 @@
         self.conducting_since + COLLECTING
     }
 
+    /// Whether a decision of this node's conductor may be adopted. Without recent reports, others may
+    /// know more until the end of the time allowed, unless the version is worse.
+    pub(in crate::gateway) fn may_decide(
+        &self,
+        now: Timestamp,
+        order: &KnownOrder,
+        decision: &Decision,
+    ) -> bool {
+        let ends_at = self.takeover_at(order, self.own_rank.unwrap_or_default());
+        decision.reason == DecisionReason::Worse || self.is_informed(now) || now >= ends_at
+    }
+
     /// Adopts the decision of this node's conductor.
     pub(in crate::gateway) fn decide(&mut self, now: Timestamp, decision: &Decision) {
         let is_undecided = decision.reason == DecisionReason::Undecided;
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -15,7 +15,6 @@
 mod scarcity;
 mod server;
 mod subset;
-#[allow(dead_code)]
 mod versions;
 
 pub(super) use choosing::{Choice, Selection};
