--- a/crates/thornbridge-core/src/gateway/rollouts/tests/trials.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/trials.rs
@@ -4,6 +4,7 @@
 use crate::gateway::rollouts::trials::{Arm, Trials};
 use crate::time::Timestamp;
 use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 use std::time::Duration;
 use thornbridge_proto::BackEndId;
 use thornbridge_proto::peer::rollout::{Outcomes, RouteReport};
@@ -222,7 +223,16 @@
     returned(&mut trials.clone(), now + VALID * 2)
 }
 
+fn config() -> Config {
+    Config {
+        rng_seed: RngSeed::Fixed(37),
+        ..Config::default()
+    }
+}
+
 proptest! {
+    #![proptest_config(config())]
+
     /// Guards against permits that are counted twice, which would raise the exposure, or lost.
     #[test]
     fn granted_permits_are_used_or_returned_or_outstanding(steps in prop::collection::vec(step(), 0..60)) {
--- a/crates/thornbridge-core/src/gateway/tests/trial_properties.rs
+++ b/crates/thornbridge-core/src/gateway/tests/trial_properties.rs
@@ -5,6 +5,7 @@
 use crate::driver_action::CallerId;
 use crate::gateway::{ExchangeFailure, GatewayEvent, ReplyVerdict};
 use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 use thornbridge_proto::AttemptId;
@@ -144,8 +145,16 @@
     sent.instance.starts_with("new")
 }
 
+fn config() -> Config {
+    Config {
+        cases: 200,
+        rng_seed: RngSeed::Fixed(31),
+        ..Config::default()
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(200))]
+    #![proptest_config(config())]
 
     /// Guards against more requests at a version on trial than there are permits, and against lost
     /// permits.
