Shards have owners once the zones of their servers have settled

Cause: while the servers of a new deployment register, over some seconds, each registration may change the zones of a shard and so its group and owners.

Change: until the zones of all shards are known and have been the same for a second, nobody owns a shard. A node that starts later finds the servers registered and owns its shards at once.

--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -194,7 +194,7 @@
 
     /// Reassigns slices if members, shards or servers changed.
     pub(super) fn update_slices(&mut self) {
-        if !std::mem::take(&mut self.slices_outdated) {
+        if !std::mem::take(&mut self.slices_outdated) && !self.slices.is_settling() {
             return;
         }
         let mut owned = self.slices.divide(self.now, &self.routes, &self.servers);
--- a/crates/thornbridge-core/src/gateway/slices/grouping.rs
+++ b/crates/thornbridge-core/src/gateway/slices/grouping.rs
@@ -18,6 +18,8 @@
 
 /// Time for which a zone counts after the last server of a shard left it.
 const ZONE_MEMORY: Duration = Duration::from_secs(30);
+/// Time without a change of the zones after which they count as settled.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
 
 /// Shards that have servers in the same zones.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -69,10 +71,16 @@
 }
 
 /// Zones in which shards have, or had until recently, servers.
+///
+/// While servers of a new deployment register, zones change with each of them. Until they have been the
+/// same for some time, nobody owns a shard, so that connections are not opened for groups of passing
+/// zones. A node that joins later finds the servers registered.
 #[derive(Debug, Default)]
 pub(super) struct ShardZones {
     /// By shard and zone: when the last server left the zone; `None` while there is one.
     zones: BTreeMap<ServiceKey, BTreeMap<ZoneName, Option<Timestamp>>>,
+    changed_at: Timestamp,
+    settled: bool,
 }
 
 impl ShardZones {
@@ -83,6 +91,7 @@
         shards: &BTreeSet<ServiceKey>,
         servers: &Servers,
     ) {
+        let before = self.zones.clone();
         self.zones.retain(|shard, _| shards.contains(shard));
         for shard in shards {
             let staying = servers
@@ -100,6 +109,26 @@
             }
             zones.retain(|_, left_at| left_at.is_none_or(|at| now.since(at) < ZONE_MEMORY));
         }
+        self.settle(now, before.is_empty(), self.zones != before);
+    }
+
+    fn settle(&mut self, now: Timestamp, is_first: bool, has_changed: bool) {
+        if self.zones.is_empty() {
+            return;
+        }
+        let all_known = self.zones.values().all(|zones| !zones.is_empty());
+        if has_changed {
+            self.changed_at = now;
+        }
+        self.settled |= match is_first {
+            true => all_known,
+            false => all_known && now.since(self.changed_at) >= SETTLING_TIME,
+        };
+    }
+
+    /// Whether the zones have been the same for some time since the start.
+    pub(super) fn are_settled(&self) -> bool {
+        self.settled || self.zones.is_empty()
     }
 
     /// Zones of a shard among `of`.
--- a/crates/thornbridge-core/src/gateway/slices/mod.rs
+++ b/crates/thornbridge-core/src/gateway/slices/mod.rs
@@ -114,6 +114,11 @@
         self.members = members;
     }
 
+    /// Whether the plans are to be made again although nothing changed.
+    pub(super) fn is_settling(&self) -> bool {
+        !self.shard_zones.are_settled()
+    }
+
     /// Division plan of a route; `None` if its gathers are not divided now.
     pub(super) fn plan(&self, now: Timestamp, route: RouteKey) -> Option<Arc<Plan>> {
         let suspended = now < self.suspended_until;
--- a/crates/thornbridge-core/src/gateway/slices/plan.rs
+++ b/crates/thornbridge-core/src/gateway/slices/plan.rs
@@ -204,7 +204,8 @@
     ) {
         for group in groups {
             let ownership = Ownership {
-                is_owner: group.owners.contains(&self.own_address),
+                is_owner: self.shard_zones.are_settled()
+                    && group.owners.contains(&self.own_address),
                 owners: group.owners.len() as u32,
             };
             for shard in &shards[group.shards.clone()] {
