Reread: mend state kept twice and work that repeats

A shard that never gets a server kept its nodes from ever owning shards; version roles were kept in two places; two walks over the budget's windows; bounds of roll-outs twice. Ruled out: one end of coldness for slowdown and share, a change of decisions. Change: see the diff; zones settle also if a shard stays without servers.

--- a/crates/thornbridge-core/src/gateway/budget/history.rs
+++ b/crates/thornbridge-core/src/gateway/budget/history.rs
@@ -57,16 +57,7 @@
     /// those that servers may have counted later; requests of the bucket in which the window before
     /// begins are not.
     pub(super) fn windows(&mut self, now: Timestamp) -> impl Iterator<Item = WindowCounts> + '_ {
-        self.advance(now);
-        let mut counts = WindowCounts {
-            extra: self.extra[..ARRIVAL_LAG_BUCKETS].iter().sum(),
-            requests: self.requests[..WINDOW_BUCKETS - 1].iter().sum(),
-        };
-        (0..=WINDOW_BUCKETS).map(move |first_age| {
-            counts.extra += self.extra[first_age + ARRIVAL_LAG_BUCKETS];
-            counts.requests += self.requests[first_age + WINDOW_BUCKETS - 1];
-            counts
-        })
+        self.windows_at(now, now)
     }
 
     /// Counts of the windows that contain a later time, if there are no further extra attempts and
@@ -76,17 +67,21 @@
         now: Timestamp,
         at: Timestamp,
     ) -> impl Iterator<Item = WindowCounts> + '_ {
+        self.advance(now);
         let later = at.since(now).as_micros() / self.bucket_duration.as_micros().max(1);
         let later = usize::try_from(later).unwrap_or(KEPT_BUCKETS);
-        let requests: Vec<u32> = self.windows(now).map(|counts| counts.requests).collect();
-        requests
-            .into_iter()
-            .enumerate()
-            .map(move |(first_age, requests)| {
-                let counted = (first_age + ARRIVAL_LAG_BUCKETS + 1).saturating_sub(later);
-                let extra = self.extra[..counted].iter().sum();
-                WindowCounts { extra, requests }
-            })
+        let mut counts = WindowCounts {
+            extra: self.extra[..ARRIVAL_LAG_BUCKETS.saturating_sub(later)]
+                .iter()
+                .sum(),
+            requests: self.requests[..WINDOW_BUCKETS - 1].iter().sum(),
+        };
+        (0..=WINDOW_BUCKETS).map(move |first_age| {
+            let extra_age = (first_age + ARRIVAL_LAG_BUCKETS).checked_sub(later);
+            counts.extra += extra_age.map_or(0, |age| self.extra[age]);
+            counts.requests += self.requests[first_age + WINDOW_BUCKETS - 1];
+            counts
+        })
     }
 
     /// Begins the buckets up to that of `now`.
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -170,11 +170,8 @@
             .plan(context.now, route.key)
             .filter(|_| !context.messages_may_be_stale && policy == SendPolicy::Unrestricted);
         let plan = plan.filter(|plan| plan.fits(&route));
-        let services = match &plan {
-            Some(plan) => plan.shards.clone(),
-            None => services,
-        };
-        let parts = services.into_iter().map(Part::new).collect();
+        let services = plan.as_ref().map_or(&services, |plan| &plan.shards);
+        let parts = services.iter().copied().map(Part::new).collect();
         let mut request = Request {
             caller,
             id: head.id.unwrap_or_default(),
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -246,7 +246,7 @@
         for source in self.sources_mut() {
             source.set_parameters(parameters.views.clone());
         }
-        self.set_rollout_parameters(parameters.rollouts.clone(), &parameters.views);
+        self.set_rollout_parameters(parameters.rollouts, &parameters.views);
         self.freshness.set_limit(parameters.views.staleness_limit);
         self.parameters = parameters;
         let state = "reconfigured";
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -214,7 +214,7 @@
             budget: ExtraAttemptBudget::new(parameters.budget.clone(), has_other_seeds, setup.seed),
             exchanges: Exchanges::new(parameters.exchange.clone()),
             quarantine: Quarantine::new(parameters.quarantine.clone()),
-            rollouts: Rollouts::new(parameters.rollouts.clone(), own_address),
+            rollouts: Rollouts::new(parameters.rollouts, own_address),
             trials: Trials::default(),
             pending: PendingRequests::default(),
             freshness: Freshness::new(parameters.views.staleness_limit),
--- a/crates/thornbridge-core/src/gateway/parameters.rs
+++ b/crates/thornbridge-core/src/gateway/parameters.rs
@@ -374,7 +374,7 @@
 const PART_COST_PER_CORE: Duration = Duration::from_micros(100);
 
 /// Parameters of roll-outs of server versions.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct RolloutParameters {
     /// Whether roll-outs may be ordered; if so, orders are read from the store.
--- a/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
@@ -105,7 +105,7 @@
             conductor.set_ordered_at(timing.ordered_at);
             return;
         }
-        rollout.conductor = Some(Conductor::new(self.parameters.clone(), timing));
+        rollout.conductor = Some(Conductor::new(self.parameters, timing));
         rollout.conducting_since = context.now;
         rollout.handed_over = false;
         self.update_instances(context, service);
--- a/crates/thornbridge-core/src/gateway/rollouts/control.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/control.rs
@@ -9,7 +9,7 @@
 use crate::gateway::action::GatewayAction;
 use crate::gateway::budget::ServiceKey;
 use crate::gateway::parameters::RolloutParameters;
-use crate::gateway::servers::{Servers, VersionRoles};
+use crate::gateway::servers::Servers;
 use crate::gateway::telemetry::GatewayChange;
 use crate::time::Timestamp;
 use rand_pcg::Pcg64Mcg;
@@ -47,8 +47,6 @@
     pub(in crate::gateway) active: BTreeMap<ServiceName, Rollout>,
     /// Services with several registered versions, or with a version that may become established.
     pub(super) watched: BTreeSet<ServiceName>,
-    /// Roles other than the default.
-    pub(super) roles: BTreeMap<ServiceKey, VersionRoles>,
     /// Services whose roles changed since the last [`Self::take_changed_roles`].
     pub(super) changed_roles: Vec<ServiceKey>,
     next_report: Timestamp,
@@ -69,7 +67,6 @@
             established: Established::default(),
             active: BTreeMap::new(),
             watched: BTreeSet::new(),
-            roles: BTreeMap::new(),
             changed_roles: Vec::new(),
             next_report: Timestamp::ZERO,
             next_gossip: Timestamp::ZERO,
@@ -95,19 +92,15 @@
         for rollout in self.active.values() {
             context.trials.end(rollout.service);
         }
-        for service in self.roles.keys() {
-            let roles = VersionRoles::default();
-            context.servers.set_version_roles(*service, roles);
-        }
         let members = std::mem::take(&mut self.members);
-        let changed_roles = self.roles.keys().copied().collect();
+        let changed_roles = context.servers.reset_version_roles();
         let peers = std::mem::take(&mut self.peers);
         *self = Self {
             members,
             peers,
             changed_roles,
             next_write: self.next_write,
-            ..Self::new(self.parameters.clone(), self.own)
+            ..Self::new(self.parameters, self.own)
         };
     }
 
--- a/crates/thornbridge-core/src/gateway/rollouts/orders.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/orders.rs
@@ -62,6 +62,11 @@
         self.known_since + after.saturating_sub(self.elapsed_before)
     }
 
+    /// When the time allowed is over.
+    pub(in crate::gateway) fn ends_at(&self) -> Timestamp {
+        self.known_since + self.period.saturating_sub(self.elapsed_before)
+    }
+
     /// Time of the order and time allowed, on this node's clock. What elapsed before the clock began is
     /// taken off the time allowed.
     pub(in crate::gateway) fn timing(&self, now: Timestamp) -> Timing {
--- a/crates/thornbridge-core/src/gateway/rollouts/roles.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/roles.rs
@@ -3,8 +3,6 @@
 use super::control::{Context, Rollouts};
 use super::established::VersionCounts;
 use super::orders::KnownOrder;
-#[cfg(test)]
-use crate::gateway::budget::ServiceKey;
 use crate::gateway::servers::VersionRoles;
 use crate::time::Timestamp;
 use std::collections::BTreeSet;
@@ -56,16 +54,9 @@
         if let Some(version) = roles.established.as_ref().filter(|_| knows_orders) {
             self.established.guess(context.now, service, version);
         }
-        let current = self.roles.get(&key).cloned().unwrap_or_default();
-        if roles == current {
-            return;
+        if context.servers.set_version_roles(key, roles) {
+            self.changed_roles.push(key);
         }
-        match roles == VersionRoles::default() {
-            true => self.roles.remove(&key),
-            false => self.roles.insert(key, roles.clone()),
-        };
-        context.servers.set_version_roles(key, roles);
-        self.changed_roles.push(key);
     }
 
     /// Notes the version that serves if there is only one.
@@ -138,12 +129,6 @@
             warm_trial: now >= order.share_over_at(WARM_UP_SHARE),
         }
     }
-
-    /// Roles last set for a service.
-    #[cfg(test)]
-    pub(in crate::gateway) fn roles_of(&self, service: ServiceKey) -> VersionRoles {
-        self.roles.get(&service).cloned().unwrap_or_default()
-    }
 }
 
 /// Roles after a roll-out to a version completed.
--- a/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
@@ -33,9 +33,6 @@
 const SUCCESSORS_TOLD: usize = 4;
 /// Time after the start of conducting in which the counts of all nodes arrive.
 const COLLECTING: Duration = Duration::from_millis(300);
-/// Share of the time allowed after which members other than the first one decide without reports. The
-/// conductor of a busy service decides shortly before its end.
-const TAKEOVER_SHARE: f64 = 1.0;
 
 /// How this node came to a decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,8 +120,10 @@
         }
     }
 
+    /// When a member of a rank decides without reports. The conductor of a busy service decides shortly
+    /// before the end of the time allowed.
     fn takeover_at(&self, order: &KnownOrder, rank: usize) -> Timestamp {
-        order.share_over_at(TAKEOVER_SHARE) + delay_of_rank(rank)
+        order.ends_at() + delay_of_rank(rank)
     }
 
     /// When this node's conductor may decide.
--- a/crates/thornbridge-core/src/gateway/servers/cold.rs
+++ b/crates/thornbridge-core/src/gateway/servers/cold.rs
@@ -215,6 +215,9 @@
 
     /// Counts a request that is sent to a server now.
     pub(in crate::gateway) fn record_send(&mut self, now: Timestamp, key: ServerKey) {
+        if self.parameters.warm_up_bound.is_none() {
+            return;
+        }
         let Some(service) = self.servers.get(&key).map(|server| server.service) else {
             return;
         };
--- a/crates/thornbridge-core/src/gateway/servers/versions.rs
+++ b/crates/thornbridge-core/src/gateway/servers/versions.rs
@@ -99,16 +99,16 @@
 }
 
 impl Servers {
-    /// Sets what servers of each version of a service get. Queued parts that have to move are found by
-    /// [`Self::unavailable_with_queued`].
+    /// Sets what servers of each version of a service get; whether that changes anything. Queued parts
+    /// that have to move are found by [`Self::unavailable_with_queued`].
     pub(in crate::gateway) fn set_version_roles(
         &mut self,
         service: ServiceKey,
         roles: VersionRoles,
-    ) {
+    ) -> bool {
         let entry = &mut self.services[service.0 as usize];
         if entry.roles == roles {
-            return;
+            return false;
         }
         entry.roles = roles;
         for key in &entry.servers {
@@ -117,6 +117,22 @@
             }
         }
         self.servers_changed(service);
+        true
+    }
+
+    /// Lets every version serve; returns the services for which that is a change.
+    pub(in crate::gateway) fn reset_version_roles(&mut self) -> Vec<ServiceKey> {
+        let services = (0..self.services.len()).map(|index| ServiceKey(index as u32));
+        let services: Vec<ServiceKey> = services.collect();
+        let mut changed = services;
+        changed.retain(|service| self.set_version_roles(*service, VersionRoles::default()));
+        changed
+    }
+
+    /// What servers of each version of a service get.
+    #[cfg(test)]
+    pub(in crate::gateway) fn version_roles(&self, service: ServiceKey) -> &VersionRoles {
+        &self.services[service.0 as usize].roles
     }
 
     /// Numbers of registered servers by version, without those that are leaving.
--- a/crates/thornbridge-core/src/gateway/slices/grouping.rs
+++ b/crates/thornbridge-core/src/gateway/slices/grouping.rs
@@ -20,6 +20,8 @@
 const ZONE_MEMORY: Duration = Duration::from_secs(30);
 /// Time without a change of the zones after which they count as settled.
 const SETTLING_TIME: Duration = Duration::from_secs(1);
+/// The same while a shard has had no server yet: it may never have one.
+const INCOMPLETE_SETTLING_TIME: Duration = Duration::from_secs(30);
 
 /// Shards that have servers in the same zones.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -70,6 +72,9 @@
     (0..count).map(group).collect()
 }
 
+/// Zones of one shard: when the last server left each; `None` while there is one.
+type RecentZones = BTreeMap<ZoneName, Option<Timestamp>>;
+
 /// Zones in which shards have, or had until recently, servers.
 ///
 /// While servers of a new deployment register, zones change with each of them. Until they have been the
@@ -77,8 +82,7 @@
 /// zones. A node that joins later finds the servers registered.
 #[derive(Debug, Default)]
 pub(super) struct ShardZones {
-    /// By shard and zone: when the last server left the zone; `None` while there is one.
-    zones: BTreeMap<ServiceKey, BTreeMap<ZoneName, Option<Timestamp>>>,
+    zones: BTreeMap<ServiceKey, RecentZones>,
     changed_at: Timestamp,
     settled: bool,
 }
@@ -91,38 +95,36 @@
         shards: &BTreeSet<ServiceKey>,
         servers: &Servers,
     ) {
-        let before = self.zones.clone();
+        let is_first = self.zones.is_empty();
+        let shards_before = self.zones.len();
         self.zones.retain(|shard, _| shards.contains(shard));
+        let mut has_changed = self.zones.len() < shards_before;
         for shard in shards {
             let staying = servers
                 .of_service(*shard)
                 .filter(|server| !server.is_leaving());
             let present: BTreeSet<&ZoneName> = staying.map(|server| &server.zone).collect();
+            has_changed |= !self.zones.contains_key(shard);
             let zones = self.zones.entry(*shard).or_default();
-            for (zone, left_at) in zones.iter_mut() {
-                if !present.contains(zone) {
-                    left_at.get_or_insert(now);
-                }
-            }
-            for zone in present {
-                zones.insert(zone.clone(), None);
-            }
-            zones.retain(|_, left_at| left_at.is_none_or(|at| now.since(at) < ZONE_MEMORY));
+            has_changed |= update_zones(now, zones, &present);
+        }
+        if has_changed {
+            self.changed_at = now;
         }
-        self.settle(now, before.is_empty(), self.zones != before);
+        self.settle(now, is_first);
     }
 
-    fn settle(&mut self, now: Timestamp, is_first: bool, has_changed: bool) {
-        if self.zones.is_empty() {
+    fn settle(&mut self, now: Timestamp, is_first: bool) {
+        if self.settled || self.zones.is_empty() {
             return;
         }
         let all_known = self.zones.values().all(|zones| !zones.is_empty());
-        if has_changed {
-            self.changed_at = now;
-        }
-        self.settled |= match is_first {
-            true => all_known,
-            false => all_known && now.since(self.changed_at) >= SETTLING_TIME,
+        let any_known = self.zones.values().any(|zones| !zones.is_empty());
+        let unchanged = now.since(self.changed_at);
+        self.settled = match (is_first, all_known) {
+            (true, all_known) => all_known,
+            (false, true) => unchanged >= SETTLING_TIME,
+            (false, false) => any_known && unchanged >= INCOMPLETE_SETTLING_TIME,
         };
     }
 
@@ -137,3 +139,23 @@
         zones.filter(|zone| of.contains(zone)).cloned().collect()
     }
 }
+
+/// Brings a shard's zones up to date; whether any has changed.
+fn update_zones(now: Timestamp, zones: &mut RecentZones, present: &BTreeSet<&ZoneName>) -> bool {
+    let mut has_changed = false;
+    for (zone, left_at) in zones.iter_mut() {
+        if !present.contains(zone) && left_at.is_none() {
+            *left_at = Some(now);
+            has_changed = true;
+        }
+    }
+    for zone in present {
+        if zones.get(*zone) != Some(&None) {
+            zones.insert((*zone).clone(), None);
+            has_changed = true;
+        }
+    }
+    let zones_before = zones.len();
+    zones.retain(|_, left_at| left_at.is_none_or(|at| now.since(at) < ZONE_MEMORY));
+    has_changed || zones.len() < zones_before
+}
--- a/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
+++ b/crates/thornbridge-core/src/gateway/tests/rollout_cluster.rs
@@ -291,7 +291,7 @@
     pub fn roles(&self, node: usize, service: &str) -> VersionRoles {
         let gateway = &self.nodes[node];
         let key = gateway.servers.find_service(&ServiceName::new(service));
-        key.map(|key| gateway.rollouts.roles_of(key))
+        key.map(|key| gateway.servers.version_roles(key).clone())
             .unwrap_or_default()
     }
 
--- a/crates/thornbridge-core/src/gateway/view_updates.rs
+++ b/crates/thornbridge-core/src/gateway/view_updates.rs
@@ -321,7 +321,9 @@
         for change in changes {
             match change {
                 RegistryChange::Upserted(revision, instance) => {
-                    services.insert(instance.service.clone());
+                    if self.rollouts.is_enabled() {
+                        services.insert(instance.service.clone());
+                    }
                     self.servers.upsert_instance(
                         self.now,
                         &mut self.actions,
