Tests of settling zones and of later windows

Change: zones settle a second after the last shard got a server, and half a minute after the last change if a shard stays without one; windows_at against plain sums.

--- a/crates/thornbridge-core/src/gateway/budget/history.rs
+++ b/crates/thornbridge-core/src/gateway/budget/history.rs
@@ -1,5 +1,8 @@
 //! Requests and extra attempts of one service over the last two windows, counted in buckets.
 
+#[cfg(test)]
+mod tests;
+
 use crate::time::Timestamp;
 use std::time::Duration;
 
--- a/crates/thornbridge-core/src/gateway/slices/grouping/tests.rs
+++ b/crates/thornbridge-core/src/gateway/slices/grouping/tests.rs
@@ -1,10 +1,19 @@
 //! Groups of shards by zones: every shard once, near all of its group's zones, and stable.
 
-use super::{ZonedGroup, group_by_zones};
+use super::{ShardZones, ZonedGroup, group_by_zones};
+use crate::gateway::ServerParameters;
+use crate::gateway::budget::ServiceKey;
+use crate::gateway::servers::{Placement, Servers};
+use crate::gateway::telemetry::ViewOrigin;
+use crate::gateway::tests::support;
+use crate::time::Timestamp;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
-use std::collections::{BTreeMap, BTreeSet};
-use thornbridge_proto::ZoneName;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::time::Duration;
+use thornbridge_proto::peer::view::{InstanceState, StoreRevision};
+use thornbridge_proto::{RegionName, ServiceName, ZoneName};
 
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
 
@@ -82,6 +91,63 @@
     );
 }
 
+fn no_servers() -> Servers {
+    let placement = Placement {
+        zone: ZoneName::new("zone"),
+        region: RegionName::new("region"),
+        regions: BTreeMap::new(),
+    };
+    let own_address = SocketAddr::from(([10, 1, 0, 1], 8_000));
+    Servers::new(ServerParameters::default(), placement, own_address)
+}
+
+fn register(servers: &mut Servers, now: Timestamp, id: &str, service: &str) -> ServiceKey {
+    let server = support::instance(id, service, InstanceState::Ready);
+    let revision = StoreRevision::without_era(1);
+    let mut actions = VecDeque::new();
+    servers.upsert_instance(now, &mut actions, &server, revision, ViewOrigin::Store);
+    servers.service_key(&ServiceName::new(service))
+}
+
+fn at(seconds: f64) -> Timestamp {
+    Timestamp::ZERO + Duration::from_secs_f64(seconds)
+}
+
+#[test]
+fn zones_settle_a_second_after_the_last_shard_got_a_server() {
+    let mut servers = no_servers();
+    let shards = ["a", "b"].map(|name| servers.service_key(&ServiceName::new(name)));
+    let shards = BTreeSet::from(shards);
+    let mut zones = ShardZones::default();
+    zones.update(at(0.0), &shards, &servers);
+    register(&mut servers, at(0.1), "a-1", "a");
+    zones.update(at(0.1), &shards, &servers);
+    zones.update(at(5.0), &shards, &servers);
+    assert!(!zones.are_settled());
+    register(&mut servers, at(5.1), "b-1", "b");
+    zones.update(at(5.1), &shards, &servers);
+    zones.update(at(6.0), &shards, &servers);
+    assert!(!zones.are_settled());
+    zones.update(at(6.2), &shards, &servers);
+    assert!(zones.are_settled());
+}
+
+/// Guards against nodes that never own a shard because another one has no server.
+#[test]
+fn shard_that_stays_without_a_server_does_not_hold_up_the_others() {
+    let mut servers = no_servers();
+    let with_server = register(&mut servers, at(0.0), "a-1", "a");
+    let without = servers.service_key(&ServiceName::new("b"));
+    let shards = BTreeSet::from([with_server, without]);
+    let mut zones = ShardZones::default();
+    for second in 0..30 {
+        zones.update(at(f64::from(second)), &shards, &servers);
+        assert!(!zones.are_settled(), "second {second}");
+    }
+    zones.update(at(30.0), &shards, &servers);
+    assert!(zones.are_settled());
+}
+
 proptest! {
     #![proptest_config(config())]
 
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -36,7 +36,7 @@
 mod sources;
 mod splits;
 mod subsets;
-mod support;
+pub(super) mod support;
 mod trial_outcomes;
 mod trial_properties;
 mod trial_support;
