Companions show a version on trial with two requests at once

What callers saw: versions that fail in half of their answers while two requests are at one server were completed, and all requests went to them.

Ruled out: the threshold (3 bad of 50 cannot be told from the pauses of good servers), counts lost on their way.

Change: companions, second attempts of repeatable requests at the server of the first, paid from permits, budget and a second connection of few nodes. A request and its companion have one outcome and evidence of their own. The evidence that condemns is 11 instead of 9, since more answers are judged. Completion keeps what it needs at high rates. Messages are unchanged.

Tests: version_bad_under_load_is_seldom_completed fails without companions (a version bad under load looks like a good one). No bound of an earlier test is changed.

--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -33,6 +33,8 @@
     pub(super) suspect: Option<Fingerprint>,
     /// Whether the attempt used a permit for a version on trial.
     pub(super) had_permit: bool,
+    /// Attempt of the request, if this is the companion of a request or the request has one.
+    pub(super) pair: Option<AttemptId>,
 }
 
 impl Exchanges {
@@ -249,16 +251,12 @@
         let index = record.part;
         let part = &mut request.parts[index];
         part.last_failure = Some(outcome);
-        let never_sent = outcome == AttemptOutcome::NotRun && reply.is_none();
-        if never_sent {
-            // An unsent attempt counts against no limit, and its server stays eligible.
-            part.sent -= 1;
-            part.tried.retain(|server| *server != record.target.server);
-        } else if matches!(
+        if matches!(
             outcome,
             AttemptOutcome::NotRun | AttemptOutcome::WrongInstance
         ) {
-            part.not_run += 1;
+            let arrived = reply.is_some();
+            part.record_not_run(record.cause, record.target.server, arrived);
         }
         if outcome == AttemptOutcome::ServerFailure {
             part.failed_reply = reply;
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -191,14 +191,20 @@
             cancel_at: None,
             suspect: Some(request.fingerprint),
             had_permit: request.parts[index].has_permit,
+            pair: None,
         };
         record_request(context, request, index, cause);
         self.attempts.insert(attempt, record);
         let hedge_at = context.now + self.hedge_delay(context, request, target.server);
         let may_hedge = is_repeatable(&request.route);
         let part = &mut request.parts[index];
-        part.record_sent(attempt, target.server);
-        part.check_at = may_hedge.then_some(hedge_at);
+        match cause {
+            AttemptCause::Companion => part.record_companion(attempt),
+            AttemptCause::First | AttemptCause::Hedge | AttemptCause::Retry => {
+                part.record_sent(attempt, target.server);
+                part.check_at = may_hedge.then_some(hedge_at);
+            }
+        }
         context.actions.push_back(GatewayAction::Send {
             connection: target.connection,
             attempt,
@@ -206,6 +212,9 @@
             instance,
             caller_timeout: request.deadline.since(context.now),
         });
+        if record.had_permit && cause == AttemptCause::First {
+            self.send_companion(context, request, index, attempt, target.server);
+        }
     }
 
     /// Moves a part that is queued for too long to another server, if a responsive one exists.
--- a/crates/thornbridge-core/src/gateway/exchange/part.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/part.rs
@@ -70,6 +70,8 @@
     pub(super) reported: bool,
     /// Whether the part has an unused permit for a version on trial.
     pub(super) has_permit: bool,
+    /// Attempts that may have run at a server for which another one is counted as sent.
+    companions: u32,
 }
 
 impl Part {
@@ -94,6 +96,7 @@
             owner_failure: None,
             reported: false,
             has_permit: false,
+            companions: 0,
         }
     }
 
@@ -165,6 +168,31 @@
         self.has_permit = false;
     }
 
+    /// Notes that another attempt was sent to the server of the first one.
+    pub(super) fn record_companion(&mut self, attempt: AttemptId) {
+        self.in_flight.push(attempt);
+        self.companions += 1;
+        self.has_permit = false;
+    }
+
+    /// Notes an attempt that did not run; `arrived` if the server rejected it. Of two attempts at the
+    /// same server, the last one counts.
+    pub(super) fn record_not_run(&mut self, cause: AttemptCause, server: ServerKey, arrived: bool) {
+        let has_companion = match cause {
+            AttemptCause::First | AttemptCause::Companion => self.companions > 0,
+            AttemptCause::Hedge | AttemptCause::Retry => false,
+        };
+        if has_companion {
+            self.companions -= 1;
+        } else if arrived {
+            self.not_run += 1;
+        } else {
+            // An unsent attempt counts against no limit, and its server stays eligible.
+            self.sent -= 1;
+            self.tried.retain(|other| *other != server);
+        }
+    }
+
     /// Uses a lent attempt, charged by its lender, for the next attempt; `false` if there is none.
     #[must_use]
     pub(super) fn take_lent(&mut self, now: Timestamp) -> bool {
--- a/crates/thornbridge-core/src/gateway/exchange/trials.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/trials.rs
@@ -3,16 +3,22 @@
 //! A permit sends the first attempt of a part to the version on trial. Any other attempt, a retry or a
 //! hedge, goes to the version that serves. The permit of a part that leaves the queue of such a server
 //! unsent is returned. Outcomes at both versions are counted by the same yardstick.
+//!
+//! The few requests of a sample seldom meet at a server. A companion, a second attempt sent to the server
+//! of the first one at the same time, shows what the version does with two requests at once. It needs a
+//! permit of its own, an idle connection, and an extra attempt of the budget.
 
 use super::attempts::Attempt;
 use super::part::Part;
 use super::request::Request;
-use super::{Context, Exchanges};
+use super::{AttemptTarget, Context, Exchanges, is_repeatable};
 use crate::gateway::rollouts::trials::Arm;
 use crate::gateway::routes::RouteKey;
-use crate::gateway::servers::{Server, ServerKey, VersionRole};
+use crate::gateway::servers::{AcquireOutcome, Server, ServerKey, VersionRole};
 use crate::gateway::telemetry::{AttemptCause, AttemptOutcome};
 use std::time::Duration;
+use thornbridge_proto::AttemptId;
+use thornbridge_proto::peer::rollout::companions_of;
 
 /// Multiple of a route's usual work from which an answer counts as bad.
 const SLOW_FACTOR: u32 = 3;
@@ -45,6 +51,48 @@
         }
         server
     }
+
+    /// Sends a companion of a part that was just sent to a server of a version on trial, if there is a
+    /// permit for one.
+    pub(super) fn send_companion(
+        &mut self,
+        context: &mut Context<'_>,
+        request: &mut Request,
+        index: usize,
+        first: AttemptId,
+        server: ServerKey,
+    ) {
+        let service = request.parts[index].service;
+        let companions = companions_of(&request.route.route.name);
+        if !is_repeatable(&request.route)
+            || !Self::may_send_now(context, request)
+            || !context.trials.has_permit(context.now, service, &companions)
+            || !context.budget.allows(context.now, service)
+        {
+            return;
+        }
+        // Without an idle connection, one is opened for the next companion.
+        let acquired = context
+            .servers
+            .acquire_connection(context.now, context.actions, server);
+        let AcquireOutcome::Idle(connection) = acquired else {
+            return;
+        };
+        let is_charged = context.budget.try_take(context.now, service);
+        let permit = context
+            .trials
+            .take_permit(context.now, service, &companions);
+        debug_assert!(is_charged && permit.is_some());
+        request.parts[index].has_permit = true;
+        let target = AttemptTarget { server, connection };
+        self.send(context, request, index, target, AttemptCause::Companion);
+        let companion = AttemptId(self.next_attempt);
+        for attempt in [first, companion] {
+            if let Some(record) = self.attempts.get_mut(&attempt) {
+                record.pair = Some(first);
+            }
+        }
+    }
 }
 
 /// Returns the unused permit of a part, if it has one.
@@ -62,8 +110,18 @@
         return;
     }
     if let Some(server) = context.servers.get(record.target.server) {
-        let route = context.routes.name_of(record.route);
-        context.trials.return_permit(server.service, route);
+        let service = server.service;
+        let name = sample_name(context, record);
+        context.trials.return_permit(service, &name);
+    }
+}
+
+/// Name under which the permit of an attempt is counted.
+fn sample_name(context: &Context<'_>, record: &Attempt) -> String {
+    let route = context.routes.name_of(record.route);
+    match record.cause {
+        AttemptCause::Companion => companions_of(route),
+        AttemptCause::First | AttemptCause::Hedge | AttemptCause::Retry => route.to_owned(),
     }
 }
 
@@ -87,6 +145,12 @@
     if part.is_first_attempt(cause) {
         let route = &request.route.route.name;
         context.trials.record_request(part.service, route);
+        if is_repeatable(&request.route) {
+            let now = context.now;
+            let affordable = context.budget.may_allow_by(now, now, part.service);
+            let trials = &mut context.trials;
+            trials.record_eligible(part.service, route, affordable);
+        }
     }
 }
 
@@ -106,7 +170,8 @@
     };
     let round_trip = server.round_trip();
     let took = context.now.since(record.sent_at);
-    let limit = usual_work(context, record.route).map(|work| round_trip + work * SLOW_FACTOR);
+    let limit = usual_work(context, record.route);
+    let limit = limit.map(|work| round_trip + work * SLOW_FACTOR);
     let is_slow = limit.is_some_and(|limit| took > limit);
     let good = match outcome {
         AttemptOutcome::Answered => !is_slow,
@@ -118,7 +183,16 @@
         AttemptOutcome::Open | AttemptOutcome::WrongInstance | AttemptOutcome::Waiting => return,
     };
     let route = context.routes.name_of(record.route);
-    context.trials.record_outcome(service, route, arm, good);
+    let Some(request) = record.pair else {
+        context.trials.record_outcome(service, route, arm, good);
+        return;
+    };
+    // A request and its companion may wait for each other: only their failures count.
+    let fails = !good && outcome != AttemptOutcome::Answered;
+    if fails || good {
+        context.trials.record_outcome(service, route, arm, good);
+    }
+    context.trials.record_pair(service, route, request, !fails);
 }
 
 /// Usual work of a route at the version that serves, once there is an observation.
--- a/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
@@ -347,10 +347,11 @@
             target: order.id.target.clone(),
             step: RolloutStep::Decided,
             state: Some(decision.state),
-            reason: reason_label(decision.reason),
+            reason: reason_label(decision),
             route: decision.route.clone(),
             trial: decision.trial,
             stable: decision.stable,
+            companions: decision.companions,
             elapsed: order.elapsed(context.now),
             revision: order.revision,
         };
@@ -360,8 +361,9 @@
 }
 
 /// Label for logs.
-fn reason_label(reason: DecisionReason) -> &'static str {
-    match reason {
+fn reason_label(decision: &Decision) -> &'static str {
+    match decision.reason {
+        DecisionReason::Worse if decision.under_load => "worse_under_load",
         DecisionReason::Worse => "worse",
         DecisionReason::NotWorse => "not_worse",
         DecisionReason::Undecided => "undecided",
--- a/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
@@ -3,7 +3,8 @@
 //! A state machine without I/O. Reports of nodes and the time go in; permits and at most one
 //! [`Decision`] come out.
 
-use super::exposure::Ledger;
+use super::companion_nodes::CompanionNodes;
+use super::exposure::{CompanionFund, Ledger};
 use super::pace::Pace;
 use super::reuse::{LifetimeBounds, Reuse};
 use super::schedule::Schedule;
@@ -14,7 +15,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use thornbridge_proto::BackEndId;
-use thornbridge_proto::peer::rollout::{Outcomes, RolloutReport, RolloutState, RouteReport};
+use thornbridge_proto::peer::rollout::{
+    Outcomes, RolloutReport, RolloutState, RouteReport, companions_of, route_of_companions,
+};
 
 /// Shortest time within which a permit must be used.
 const PERMIT_LIFETIME_MINIMUM: Duration = Duration::from_secs(1);
@@ -37,7 +40,7 @@
 /// Permits for one node.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(in crate::gateway) struct Permits {
-    /// Requests of each route that may go to the version on trial.
+    /// Requests of each route, and companions, that may go to the version on trial.
     pub(in crate::gateway) by_route: Vec<(String, u32)>,
     /// Time within which they must be used.
     pub(in crate::gateway) valid: Duration,
@@ -63,8 +66,12 @@
     pub(in crate::gateway) reason: DecisionReason,
     /// Route that decided; empty for all routes together.
     pub(in crate::gateway) route: String,
+    /// Whether companions showed it: the version is worse with several requests at once.
+    pub(in crate::gateway) under_load: bool,
     pub(in crate::gateway) trial: Outcomes,
     pub(in crate::gateway) stable: Outcomes,
+    /// Outcomes of companions, of all routes.
+    pub(in crate::gateway) companions: Outcomes,
 }
 
 /// State of one roll-out at its conductor.
@@ -73,6 +80,7 @@
     ledger: Ledger,
     schedule: Schedule,
     pace: Pace,
+    companion_nodes: CompanionNodes,
     reuse: Reuse,
     totals: ReportedTotals,
     verdict: Verdict,
@@ -91,6 +99,7 @@
             decision_due: schedule.earliest_due(),
             schedule,
             pace: Pace::new(),
+            companion_nodes: CompanionNodes::default(),
             reuse: Reuse::new(lifetime_bounds(&parameters)),
             totals: ReportedTotals::default(),
             verdict: Verdict::new(),
@@ -159,7 +168,33 @@
         (trial, stable)
     }
 
-    fn record(&mut self, now: Timestamp, from: SocketAddr, route: &RouteReport) {
+    /// Outcomes of companions so far, all routes together.
+    pub(in crate::gateway) fn companions(&self) -> Outcomes {
+        self.verdict.companions()
+    }
+
+    fn record(&mut self, now: Timestamp, from: SocketAddr, report: &RouteReport) {
+        match route_of_companions(&report.route) {
+            Some(route) => self.record_companions(now, from, route, report),
+            None => self.record_route(now, from, report),
+        }
+    }
+
+    fn record_companions(
+        &mut self,
+        now: Timestamp,
+        from: SocketAddr,
+        route: &str,
+        report: &RouteReport,
+    ) {
+        self.ledger.record_returned_companions(report.returned);
+        let outcomes = self.totals.take_new(from, report);
+        self.verdict.add_companions(now, route, outcomes.trial);
+        let affordable = outcomes.stable.good > 0;
+        self.companion_nodes.reported(now, from, route, affordable);
+    }
+
+    fn record_route(&mut self, now: Timestamp, from: SocketAddr, route: &RouteReport) {
         self.ledger.record_requests(route.requests);
         self.ledger.record_returned(route.returned);
         self.schedule.record_requests(now, route.requests);
@@ -175,7 +210,7 @@
         if let Some(decision) = self.condemnation() {
             return Some(decision);
         }
-        let completion_total = self.ledger.completion_total(self.attempts());
+        let completion_total = self.completion_total(now);
         self.decision_due = self.schedule.decision_due(now, completion_total);
         if now < self.decision_due {
             return None;
@@ -206,15 +241,28 @@
             state,
             reason,
             route,
+            under_load: self.verdict.is_condemned_under_load(),
             trial,
             stable,
+            companions: self.verdict.companions(),
         }
     }
 
+    /// Requests that may go to the new version between completion and the deadline.
+    fn completion_total(&mut self, now: Timestamp) -> f64 {
+        let answers = self.verdict.outcomes().trial.total();
+        let companions = self.verdict.companions().total();
+        let reserve = self.schedule.completion_reserve(now);
+        let attempts = self.attempts();
+        self.ledger
+            .completion_total(attempts, answers, companions, reserve)
+    }
+
     /// Attempts at both versions that nodes counted since the order.
     fn attempts(&self) -> u64 {
         let ArmOutcomes { trial, stable } = self.verdict.outcomes();
-        u64::from(trial.total()) + u64::from(stable.total())
+        let attempts = u64::from(trial.total()) + u64::from(stable.total());
+        attempts.saturating_sub(u64::from(self.verdict.companions().total()))
     }
 
     fn may_sample(&self, now: Timestamp) -> bool {
@@ -228,14 +276,14 @@
         let permits_per_s = self.permits_per_s(now);
         self.pace.refill(now, permits_per_s);
         let permits = self.grantable(now);
-        let by_route = self.divide(permits, routes);
-        let lifetimes = by_route.iter();
-        let lifetimes = lifetimes.map(|(route, _)| self.reuse.lifetime(node, route));
+        let shares = self.divide(now, node, permits, routes);
+        let lifetimes = shares.iter();
+        let lifetimes = lifetimes.map(|share| self.reuse.lifetime(node, share.route));
         let valid = lifetimes.max().unwrap_or_default();
-        for (route, permits) in &by_route {
-            self.ledger.record_granted(*permits);
-            self.pace.record_granted(now + valid, route, *permits);
+        for share in &shares {
+            self.record_granted(now + valid, share);
         }
+        let by_route = shares.iter().flat_map(RouteShare::permits).collect();
         Permits {
             by_route,
             valid,
@@ -243,11 +291,33 @@
         }
     }
 
+    fn record_granted(&mut self, until: Timestamp, share: &RouteShare<'_>) {
+        let RouteShare {
+            route,
+            permits,
+            paid_companions,
+            spare_companions,
+            ..
+        } = *share;
+        let ledger = &mut self.ledger;
+        ledger.record_granted(permits);
+        ledger.record_companions(CompanionFund::Sample, paid_companions);
+        ledger.record_companions(CompanionFund::Spare, spare_companions);
+        self.pace.record_granted(until, route, permits);
+        if paid_companions > 0 {
+            let companions = companions_of(route);
+            self.pace
+                .record_granted(until, &companions, paid_companions);
+        }
+    }
+
     /// Rate of one new server after completion; more if the sample would be left over otherwise.
     fn permits_per_s(&mut self, now: Timestamp) -> f64 {
         let server_rate_per_s = self.schedule.rate_per_s(now) / self.instances.len() as f64;
         let further_requests = self.schedule.further_requests(now);
-        let left = self.ledger.sample_total(further_requests) - self.expected_spent();
+        let reserve = self.schedule.completion_reserve(now);
+        let planned = self.ledger.planned_sample(further_requests, reserve);
+        let left = planned - self.expected_spent();
         let remaining = self.schedule.remaining(now).max(REMAINING_MINIMUM);
         server_rate_per_s.max(left / remaining.as_secs_f64())
     }
@@ -263,32 +333,65 @@
     }
 
     /// Divides permits among routes: those with the fewest answers and outstanding permits first, to each
-    /// no more than it has requests.
-    fn divide(&self, permits: u32, routes: &[RouteReport]) -> Vec<(String, u32)> {
-        let mut shares: Vec<RouteShare<'_>> =
-            routes.iter().map(|route| self.share_of(route)).collect();
-        for _ in 0..permits {
+    /// no more than it has requests. Part of the permits are for companions of these requests.
+    fn divide<'a>(
+        &mut self,
+        now: Timestamp,
+        node: SocketAddr,
+        permits: u32,
+        reports: &'a [RouteReport],
+    ) -> Vec<RouteShare<'a>> {
+        let sends_companions = self.schedule.sends_companions(now);
+        let admits = sends_companions && self.companion_nodes.admit(now, node);
+        let further_requests = self.schedule.further_requests(now);
+        let reserve = self.schedule.completion_reserve(now);
+        let routes = reports.iter();
+        let routes = routes.filter(|report| route_of_companions(&report.route).is_none());
+        let mut shares: Vec<RouteShare<'a>> =
+            routes.map(|route| self.share_of(node, route)).collect();
+        let mut left = permits;
+        let (mut paid, mut spare) = (0, 0);
+        while left > 0 {
             let open = shares.iter_mut().filter(|share| share.is_open());
             let Some(share) = open.min_by_key(|share| share.sampled) else {
                 break;
             };
-            share.permits += 1;
-            share.sampled += 1;
+            let fund = match admits && share.accepts_companions {
+                true => {
+                    let further = (permits - left, paid);
+                    self.ledger
+                        .companion_fund(further, spare, further_requests, reserve)
+                }
+                false => None,
+            };
+            match fund {
+                None => {}
+                Some(CompanionFund::Spare) => spare += 1,
+                // A companion is worth waiting for the permits of a pair.
+                Some(CompanionFund::Sample) if left == 1 => break,
+                Some(CompanionFund::Sample) => {
+                    paid += 1;
+                    left -= 1;
+                }
+            }
+            left -= 1;
+            share.grant(fund);
         }
-        let granted = shares.iter().filter(|share| share.permits > 0);
-        granted
-            .map(|share| (share.route.to_owned(), share.permits))
-            .collect()
+        shares.retain(|share| share.permits > 0);
+        shares
     }
 
-    fn share_of<'a>(&self, report: &'a RouteReport) -> RouteShare<'a> {
+    fn share_of<'a>(&self, node: SocketAddr, report: &'a RouteReport) -> RouteShare<'a> {
         let route = report.route.as_str();
         let answers = self.verdict.answers_of(route);
         RouteShare {
             route,
             requests: report.requests,
+            accepts_companions: self.companion_nodes.can_send(node, route),
             sampled: answers + self.pace.outstanding_of(route),
             permits: 0,
+            paid_companions: 0,
+            spare_companions: 0,
         }
     }
 
@@ -313,12 +416,37 @@
 struct RouteShare<'a> {
     route: &'a str,
     requests: u32,
+    /// Whether the node can send companions of such requests now.
+    accepts_companions: bool,
     /// Answers of the version on trial and outstanding permits.
     sampled: u32,
     permits: u32,
+    /// Companions paid from the sample, and from what is spare.
+    paid_companions: u32,
+    spare_companions: u32,
 }
 
 impl RouteShare<'_> {
+    /// Permits by the name under which they are granted.
+    fn permits(&self) -> impl Iterator<Item = (String, u32)> {
+        let requests = (self.route.to_owned(), self.permits);
+        let companions = self.paid_companions + self.spare_companions;
+        let companions = (companions_of(self.route), companions);
+        [requests, companions]
+            .into_iter()
+            .filter(|(_, permits)| *permits > 0)
+    }
+
+    fn grant(&mut self, companion: Option<CompanionFund>) {
+        self.permits += 1;
+        self.sampled += 1;
+        match companion {
+            None => {}
+            Some(CompanionFund::Spare) => self.spare_companions += 1,
+            Some(CompanionFund::Sample) => self.paid_companions += 1,
+        }
+    }
+
     fn is_open(&self) -> bool {
         self.permits < self.requests
     }
--- a/crates/thornbridge-core/src/gateway/rollouts/control.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/control.rs
@@ -294,6 +294,7 @@
             .filter(|order| order.id == rollout.id);
         let conductor = rollout.conductor.as_ref();
         let (trial, stable) = conductor.map_or_else(Default::default, |own| own.outcomes());
+        let companions = conductor.map_or_else(Default::default, |own| own.companions());
         let change = RolloutChange {
             service: service.clone(),
             target: rollout.id.target.clone(),
@@ -305,6 +306,7 @@
             route: String::new(),
             trial,
             stable,
+            companions,
             elapsed: order.map_or(Duration::ZERO, |order| order.elapsed(context.now)),
             revision: order.map(|order| order.revision).unwrap_or_default(),
         };
--- a/crates/thornbridge-core/src/gateway/rollouts/evidence.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/evidence.rs
@@ -4,7 +4,7 @@
 use thornbridge_proto::peer::rollout::Outcomes;
 
 /// CUSUM and contrast at which a version is condemned, in nats.
-pub(super) const CONDEMNING_NATS: f64 = 9.0;
+const CONDEMNING_NATS: f64 = 11.0;
 /// Bad share of the serving version above which answers carry no information.
 const STABLE_SHARE_MAXIMUM: f64 = 0.5;
 /// Least bad share that is looked for.
@@ -35,6 +35,11 @@
         })
     }
 
+    /// The same for pairs of attempts, of which one is bad if either attempt is.
+    pub(super) fn of_pairs_against(stable_share: f64) -> Option<Self> {
+        Self::against(1.0 - (1.0 - stable_share).powi(2))
+    }
+
     pub(super) fn of(self, outcomes: Outcomes) -> f64 {
         f64::from(outcomes.good) * self.good_nats + f64::from(outcomes.bad) * self.bad_nats
     }
--- a/crates/thornbridge-core/src/gateway/rollouts/messages.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/messages.rs
@@ -9,7 +9,7 @@
 use thornbridge_proto::ServiceName;
 use thornbridge_proto::peer::PeerEndpoint;
 use thornbridge_proto::peer::rollout::{
-    RolloutGrant, RolloutMessage, RolloutOrders, RolloutReport,
+    RolloutGrant, RolloutMessage, RolloutOrders, RolloutReport, route_of_companions,
 };
 
 /// Interval at which orders that are not over are sent to a random peer.
@@ -221,6 +221,13 @@
             return;
         }
         let key = rollout.service;
+        let mut names = grant.permits.iter().map(|(name, _)| name.as_str());
+        if names.any(|name| route_of_companions(name).is_some()) {
+            let instance = grant.instance.as_ref();
+            context
+                .servers
+                .open_for_companion(context.now, context.actions, key, instance);
+        }
         context
             .trials
             .grant(context.now, key, &grant.permits, valid, grant.instance);
--- a/crates/thornbridge-core/src/gateway/rollouts/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/mod.rs
@@ -21,9 +21,11 @@
 //! | `telemetry` | steps for logs and metrics |
 //! | [`conductor`] | permits and the comparison of the versions |
 //! | `exposure`, `reuse`, `pace`, `schedule` | how many permits there are, and when |
+//! | `companion_nodes` | nodes that send companions |
 //! | `totals`, `evidence`, `stable_share`, `verdict` | the comparison |
 //! | [`trials`] | permits and counts at this node |
 
+mod companion_nodes;
 mod conducting;
 pub(super) mod conductor;
 pub(super) mod control;
--- a/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
@@ -16,8 +16,13 @@
 const EARLY_TIME_SHARE: f64 = 0.2;
 /// Part of the sample that is released early.
 const EARLY_SAMPLE_SHARE: f64 = 1.0 / 3.0;
+/// Part of the time until the decision in which companions are sent.
+const COMPANION_TIME_SHARE: f64 = 0.85;
 /// Part of the period, at its end, that is left for completion.
 const LEAD_SHARE: f64 = 0.1;
+/// Least time from the decision to the deadline: requests move to the new version, the state is written,
+/// and written again if its first write fails.
+const LEAD_MINIMUM: Duration = Duration::from_millis(600);
 /// Time in which a new conductor gets the totals of the nodes, before it decides on time.
 const GATHERING_TIME: Duration = Duration::from_millis(500);
 /// Standard deviations by which the requests between the decision and the deadline may exceed their mean.
@@ -104,6 +109,13 @@
         EARLY_SAMPLE_SHARE + (1.0 - EARLY_SAMPLE_SHARE) * late_share
     }
 
+    /// Whether companions are sent now. Versions that are bad under load are so from the start; the later
+    /// part of the sample is left to versions that turn bad, spread as evenly as possible.
+    pub(super) fn sends_companions(&self, now: Timestamp) -> bool {
+        let elapsed = now.since(self.timing.ordered_at);
+        elapsed < self.sampling_time().mul_f64(COMPANION_TIME_SHARE)
+    }
+
     /// Current round, counted from 0.
     pub(super) fn round(&self, now: Timestamp) -> u32 {
         let elapsed = now.since(self.timing.ordered_at).as_secs_f64();
@@ -115,15 +127,26 @@
     /// Permits that are released by the end of the current round.
     pub(super) fn released(&mut self, now: Timestamp, ledger: &Ledger) -> f64 {
         let further_requests = self.further_requests(now);
-        self.released_share(now) * ledger.sample_total(further_requests)
+        let reserve = self.completion_reserve(now);
+        self.released_share(now) * ledger.planned_sample(further_requests, reserve)
+    }
+
+    /// Most requests that are expected in the least time left for completion.
+    pub(super) fn completion_reserve(&mut self, now: Timestamp) -> f64 {
+        most_around(self.rate_per_s(now) * LEAD_MINIMUM.as_secs_f64())
     }
 
     fn sampling_time(&self) -> Duration {
-        self.timing.period.mul_f64(1.0 - LEAD_SHARE)
+        self.timing.period.saturating_sub(self.longest_lead())
+    }
+
+    fn longest_lead(&self) -> Duration {
+        let lead = self.timing.period.mul_f64(LEAD_SHARE);
+        lead.max(LEAD_MINIMUM)
     }
 
     fn lead(&mut self, now: Timestamp, completion_total: f64) -> Duration {
-        let longest = self.timing.period.mul_f64(LEAD_SHARE);
+        let longest = self.longest_lead();
         let rate_per_s = self.rate_per_s(now);
         let requests = mean_within(completion_total);
         if rate_per_s * longest.as_secs_f64() <= requests {
@@ -133,6 +156,11 @@
     }
 }
 
+/// Number of arrivals that is seldom exceeded, of which `mean` are expected.
+fn most_around(mean: f64) -> f64 {
+    mean + ARRIVAL_DEVIATIONS * mean.sqrt()
+}
+
 /// Mean of a number of arrivals that stays below `most` with a margin of some standard deviations.
 fn mean_within(most: f64) -> f64 {
     let half_margin = ARRIVAL_DEVIATIONS / 2.0;
--- a/crates/thornbridge-core/src/gateway/rollouts/stable_share.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/stable_share.rs
@@ -47,7 +47,8 @@
         self.bad.add(now, u64::from(outcomes.bad));
     }
 
-    fn outcomes(&mut self, now: Timestamp) -> Outcomes {
+    /// Answers of the window.
+    pub(super) fn recent(&mut self, now: Timestamp) -> Outcomes {
         let bad = self.bad.sum(now);
         let good = self.answers.sum(now) - bad;
         Outcomes {
@@ -101,6 +102,6 @@
 
     /// Answers in the short window.
     pub(super) fn recent(&mut self, now: Timestamp) -> Outcomes {
-        self.short.outcomes(now)
+        self.short.recent(now)
     }
 }
--- a/crates/thornbridge-core/src/gateway/rollouts/telemetry.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/telemetry.rs
@@ -24,6 +24,8 @@
     pub trial: Outcomes,
     /// Outcomes at the version that serves, as far as this node conducts.
     pub stable: Outcomes,
+    /// Outcomes of companions at the version on trial, as far as this node conducts.
+    pub companions: Outcomes,
     /// Time since the order.
     pub elapsed: Duration,
     /// Revision of the order's object.
--- a/crates/thornbridge-core/src/gateway/rollouts/tests/decisions.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/decisions.rs
@@ -48,6 +48,7 @@
     undecided: u32,
     completed: u32,
     sampled: u32,
+    companions: u32,
     bad: u32,
     most_bad: u32,
 }
@@ -61,6 +62,7 @@
             DecisionReason::NotWorse => self.completed += 1,
         }
         self.sampled += run.sampled;
+        self.companions += run.companions;
         self.bad += run.bad;
         self.most_bad = self.most_bad.max(run.bad);
     }
@@ -82,29 +84,35 @@
     }
 }
 
-/// Runs many roll-outs; prints a row of the table in the design note.
 fn shares(name: &str, traffic: Traffic, runs: u64, bad_share: BadShare) -> Shares {
-    let long = std::env::var_os("THORNBRIDGE_LONG").is_some();
-    let runs = if long { runs * LONG_FACTOR } else { runs };
     let scenario = Scenario {
         rate_per_s: traffic.rate_per_s,
         nodes: traffic.nodes,
         routes: traffic.routes,
         bad_share,
+        bad_beside_others: 0.0,
     };
+    shares_of(name, scenario, runs)
+}
+
+/// Runs many roll-outs; prints a row of the table in the design note.
+fn shares_of(name: &str, scenario: Scenario, runs: u64) -> Shares {
+    let long = std::env::var_os("THORNBRIDGE_LONG").is_some();
+    let runs = if long { runs * LONG_FACTOR } else { runs };
     let mut shares = Shares::default();
     for seed in 0..runs {
         shares.add(&run(scenario, seed));
     }
     println!(
-        "| {name} | {} | {} | {} | {runs} | {:.4} | {:.4} | {:.4} | {:.1} | {:.1} | {} |",
-        traffic.rate_per_s,
-        traffic.nodes,
-        traffic.routes,
+        "| {name} | {} | {} | {} | {runs} | {:.4} | {:.4} | {:.4} | {:.1} | {:.1} | {:.1} | {} |",
+        scenario.rate_per_s,
+        scenario.nodes,
+        scenario.routes,
         shares.share(shares.worse),
         shares.share(shares.undecided),
         shares.share(shares.completed),
         shares.share(shares.sampled),
+        shares.share(shares.companions),
         shares.share(shares.bad),
         shares.most_bad,
     );
@@ -198,6 +206,7 @@
             nodes: 6,
             routes: 2,
             bad_share: |_, _, _| 0.005,
+            bad_beside_others: 0.0,
         };
         for seed in 0..50 {
             let run = run(scenario, seed);
@@ -262,3 +271,64 @@
     });
     assert_seldom_completed(&shares, &[0.01, 0.06, 0.005, 0.005]);
 }
+
+/// Traffic of versions that fail with two requests at once only.
+const UNDER_LOAD: [Traffic; 6] = [
+    traffic(8.0, 6, 2),
+    traffic(8.0, 72, 2),
+    traffic(40.0, 6, 2),
+    traffic(40.0, 72, 2),
+    traffic(100.0, 6, 2),
+    traffic(100.0, 72, 2),
+];
+
+fn shares_under_load(name: &str, bad_beside_others: f64) -> [Shares; 6] {
+    UNDER_LOAD.map(|traffic| {
+        let scenario = Scenario {
+            rate_per_s: traffic.rate_per_s,
+            nodes: traffic.nodes,
+            routes: traffic.routes,
+            bad_share: |_, _, _| 0.005,
+            bad_beside_others,
+        };
+        shares_of(name, scenario, BAD_RUNS)
+    })
+}
+
+/// Completed shares allowed of versions bad under load.
+const COMPLETED_UNDER_LOAD: f64 = 0.01;
+
+/// Rows of [`UNDER_LOAD`] with many requests at few nodes.
+const AT_FEW_NODES: [usize; 2] = [2, 4];
+/// Rows of [`UNDER_LOAD`] with many requests at many nodes.
+const AT_MANY_NODES: [usize; 2] = [3, 5];
+
+fn assert_seldom_completed_under_load(shares: &[Shares; 6], rows: [usize; 2]) {
+    for shares in rows.map(|row| &shares[row]) {
+        assert!(
+            shares.completed_share() <= COMPLETED_UNDER_LOAD,
+            "{shares:?}"
+        );
+    }
+}
+
+/// Guards against acquittal by answers to single requests of a version that fails with two at once.
+#[test]
+fn version_bad_under_load_is_seldom_completed() {
+    let shares = shares_under_load("0.5 bad under load", 0.5);
+    assert_seldom_completed_under_load(&shares, AT_FEW_NODES);
+}
+
+/// The same where each node has few requests.
+#[test]
+fn version_bad_under_load_is_seldom_completed_at_many_nodes() {
+    let shares = shares_under_load("0.5 bad under load", 0.5);
+    assert_seldom_completed_under_load(&shares, AT_MANY_NODES);
+}
+
+#[test]
+fn version_always_bad_under_load_is_seldom_completed() {
+    let shares = shares_under_load("1.0 bad under load", 1.0);
+    assert_seldom_completed_under_load(&shares, AT_FEW_NODES);
+    assert_seldom_completed_under_load(&shares, AT_MANY_NODES);
+}
--- a/crates/thornbridge-core/src/gateway/rollouts/tests/simulation.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/simulation.rs
@@ -8,7 +8,9 @@
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
-use thornbridge_proto::peer::rollout::{Outcomes, RolloutState, RouteReport};
+use thornbridge_proto::peer::rollout::{
+    Outcomes, RolloutState, RouteReport, companions_of, route_of_companions,
+};
 
 /// Routes of the service.
 const ROUTES: [&str; 2] = ["lookup", "sweep"];
@@ -39,6 +41,8 @@
     /// Number of routes, each with the same part of the requests.
     pub(super) routes: usize,
     pub(super) bad_share: BadShare,
+    /// Bad share of the new version's answers to companions, beside `bad_share`.
+    pub(super) bad_beside_others: f64,
 }
 
 /// What a run showed.
@@ -47,6 +51,8 @@
     pub(super) decision: Decision,
     /// Requests sent to the new version until the decision.
     pub(super) sampled: u32,
+    /// Companions among them.
+    pub(super) companions: u32,
     /// Bad ones among those sent.
     pub(super) bad: u32,
     /// Requests from the order to the deadline.
@@ -55,13 +61,21 @@
     pub(super) exposed: u32,
 }
 
+/// What an attempt was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Sent {
+    ToOld,
+    ToNew,
+    Companion,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Request,
     Answer {
         node: usize,
         route: usize,
-        new_version: bool,
+        attempt: Sent,
         good: bool,
     },
     Report {
@@ -83,6 +97,13 @@
     permits: Vec<(Timestamp, Timestamp)>,
 }
 
+/// Counts of a route and of its companions.
+#[derive(Clone, Debug, Default)]
+struct RouteNode {
+    requests: RouteCounts,
+    companions: RouteCounts,
+}
+
 impl RouteCounts {
     fn lapse(&mut self, now: Timestamp) {
         let held = self.permits.len();
@@ -110,7 +131,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct SimulatedNode {
-    routes: [RouteCounts; ROUTES.len()],
+    routes: [RouteNode; ROUTES.len()],
     next_report: Option<Timestamp>,
 }
 
@@ -121,6 +142,7 @@
     nodes: Vec<SimulatedNode>,
     events: BinaryHeap<Reverse<(Timestamp, Event)>>,
     sampled: u32,
+    companions: u32,
     bad: u32,
     requests: u32,
 }
@@ -136,6 +158,7 @@
         nodes: vec![SimulatedNode::default(); scenario.nodes],
         events: BinaryHeap::new(),
         sampled: 0,
+        companions: 0,
         bad: 0,
         requests: 0,
     };
@@ -149,6 +172,7 @@
     Run {
         decision,
         sampled: simulation.sampled,
+        companions: simulation.companions,
         bad: simulation.bad,
         requests: simulation.requests,
         exposed: simulation.sampled + after_decision,
@@ -205,10 +229,10 @@
             Event::Answer {
                 node,
                 route,
-                new_version,
+                attempt,
                 good,
             } => {
-                self.answer(now, node, route, new_version, good);
+                self.answer(now, node, route, attempt, good);
             }
             Event::Report { node } => {
                 self.nodes[node].next_report = None;
@@ -223,28 +247,45 @@
         let node = self.random.random_range(0..self.scenario.nodes);
         let route = self.random.random_range(0..self.scenario.routes);
         let counts = &mut self.nodes[node].routes[route];
-        counts.requests += 1;
-        let new_version = counts.take_permit(now);
-        let version = if new_version {
-            Version::New
+        counts.requests.requests += 1;
+        if !counts.requests.take_permit(now) {
+            self.send(now, node, route, Sent::ToOld);
         } else {
-            Version::Old
+            let has_companion = counts.companions.take_permit(now);
+            let good = self.send(now, node, route, Sent::ToNew);
+            if has_companion {
+                let pair = good & self.send(now, node, route, Sent::Companion);
+                let counts = &mut self.nodes[node].routes[route].companions;
+                counts.trial.good += u32::from(pair);
+                counts.trial.bad += u32::from(!pair);
+            }
+        }
+        self.nodes[node].routes[route].companions.stable.good += 1;
+        self.report_soon(now, node);
+    }
+
+    /// Sends an attempt; returns whether its answer will be good.
+    fn send(&mut self, now: Timestamp, node: usize, route: usize, attempt: Sent) -> bool {
+        let (version, bad_beside_others) = match attempt {
+            Sent::ToOld => (Version::Old, 0.0),
+            Sent::ToNew => (Version::New, 0.0),
+            Sent::Companion => (Version::New, self.scenario.bad_beside_others),
         };
         let bad_share = (self.scenario.bad_share)(version, route, now.since(ORDERED_AT));
-        let good = !self.random.random_bool(bad_share);
+        let good = !self.random.random_bool(bad_share.max(bad_beside_others));
+        let new_version = version == Version::New;
         self.sampled += u32::from(new_version);
+        self.companions += u32::from(attempt == Sent::Companion);
         self.bad += u32::from(new_version && !good);
         let answered_at = now + self.answer_time(good);
-        self.schedule(
-            answered_at,
-            Event::Answer {
-                node,
-                route,
-                new_version,
-                good,
-            },
-        );
-        self.report_soon(now, node);
+        let answer = Event::Answer {
+            node,
+            route,
+            attempt,
+            good,
+        };
+        self.schedule(answered_at, answer);
+        good
     }
 
     fn answer_time(&mut self, good: bool) -> Duration {
@@ -256,11 +297,11 @@
         Duration::from_millis(ms)
     }
 
-    fn answer(&mut self, now: Timestamp, node: usize, route: usize, new_version: bool, good: bool) {
+    fn answer(&mut self, now: Timestamp, node: usize, route: usize, attempt: Sent, good: bool) {
         let counts = &mut self.nodes[node].routes[route];
-        let outcomes = match new_version {
-            true => &mut counts.trial,
-            false => &mut counts.stable,
+        let outcomes = match attempt {
+            Sent::ToOld => &mut counts.requests.stable,
+            Sent::ToNew | Sent::Companion => &mut counts.requests.trial,
         };
         match good {
             true => outcomes.good += 1,
@@ -282,13 +323,24 @@
 
     fn report(&mut self, now: Timestamp, number: usize) {
         let routes = self.nodes[number].routes.iter_mut().zip(ROUTES);
-        let routes = routes.map(|(counts, route)| counts.take_report(now, route));
+        let routes = routes.flat_map(|(counts, route)| {
+            let companions = companions_of(route);
+            [
+                counts.requests.take_report(now, route),
+                counts.companions.take_report(now, &companions),
+            ]
+        });
         let routes = report(routes.collect());
         let permits = self.conductor.handle_report(now, node(number), &routes);
         let until = now + GRANT_DELAY + permits.valid;
         for (name, count) in &permits.by_route {
-            let idx = ROUTES.iter().position(|route| route == name);
+            let route = route_of_companions(name).unwrap_or(name);
+            let idx = ROUTES.iter().position(|known| *known == route);
             let counts = &mut self.nodes[number].routes[idx.expect("a route of the service")];
+            let counts = match route_of_companions(name) {
+                Some(_) => &mut counts.companions,
+                None => &mut counts.requests,
+            };
             let permit = (now + GRANT_DELAY, until);
             counts
                 .permits
--- a/crates/thornbridge-core/src/gateway/rollouts/trials.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/trials.rs
@@ -2,14 +2,15 @@
 //! versions.
 //!
 //! Each permit is used once, or reported as returned once: when its validity ends, or when its request
-//! is not sent to the version on trial after all.
+//! is not sent to the version on trial after all. Companions of a route's requests have permits and
+//! counts of their own: the outcome of a request and its companion is one, and bad if either is.
 
 use crate::gateway::budget::ServiceKey;
 use crate::time::Timestamp;
 use std::collections::BTreeMap;
 use std::time::Duration;
-use thornbridge_proto::BackEndId;
-use thornbridge_proto::peer::rollout::{Outcomes, RouteReport};
+use thornbridge_proto::peer::rollout::{Outcomes, RouteReport, companions_of};
+use thornbridge_proto::{AttemptId, BackEndId};
 
 /// Version that served an attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +43,8 @@
     stable: Outcomes,
     /// Whether the outcomes changed since the last report.
     outcomes_changed: bool,
+    /// Requests and companions of which one ended, by the attempt of the request, and whether that was good.
+    half_ended: BTreeMap<AttemptId, bool>,
 }
 
 impl RouteTrial {
@@ -62,6 +65,11 @@
         Some(grant.instance.clone())
     }
 
+    fn has_permit(&self, now: Timestamp) -> bool {
+        let mut grants = self.grants.iter();
+        grants.any(|grant| grant.unused > 0 && grant.valid_until >= now)
+    }
+
     fn has_news(&self) -> bool {
         self.requests > 0 || self.returned > 0 || self.outcomes_changed
     }
@@ -143,6 +151,51 @@
         }
     }
 
+    /// Whether there is a permit.
+    pub(in crate::gateway) fn has_permit(
+        &self,
+        now: Timestamp,
+        service: ServiceKey,
+        route: &str,
+    ) -> bool {
+        let routes = self.services.get(&service);
+        let trial = routes.and_then(|routes| routes.get(route));
+        trial.is_some_and(|trial| trial.has_permit(now))
+    }
+
+    /// Counts a request that may have a companion; `affordable`: whether the budget allows one now.
+    pub(in crate::gateway) fn record_eligible(
+        &mut self,
+        service: ServiceKey,
+        route: &str,
+        affordable: bool,
+    ) {
+        if let Some(companions) = self.route_mut(service, &companions_of(route)) {
+            companions.stable.good += u32::from(affordable);
+        }
+    }
+
+    /// Counts the outcome of a request with a companion, or of the companion. `request`: attempt of the
+    /// request.
+    pub(in crate::gateway) fn record_pair(
+        &mut self,
+        service: ServiceKey,
+        route: &str,
+        request: AttemptId,
+        good: bool,
+    ) {
+        let companions = companions_of(route);
+        let Some(pairs) = self.route_mut(service, &companions) else {
+            return;
+        };
+        match pairs.half_ended.remove(&request) {
+            None => {
+                pairs.half_ended.insert(request, good);
+            }
+            Some(other) => self.record_outcome(service, &companions, Arm::Trial, good && other),
+        }
+    }
+
     /// Counts the first attempt of a request, at any version.
     pub(in crate::gateway) fn record_request(&mut self, service: ServiceKey, route: &str) {
         if let Some(trial) = self.route_mut(service, route) {
--- a/crates/thornbridge-core/src/gateway/telemetry.rs
+++ b/crates/thornbridge-core/src/gateway/telemetry.rs
@@ -35,6 +35,8 @@
     Hedge,
     /// An earlier attempt failed.
     Retry,
+    /// Sent beside the first attempt to the same server, to see it with two requests at once.
+    Companion,
 }
 
 impl AttemptCause {
@@ -44,6 +46,7 @@
             Self::First => "first",
             Self::Hedge => "hedge",
             Self::Retry => "retry",
+            Self::Companion => "companion",
         }
     }
 }
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -4,6 +4,7 @@
 mod budgets;
 mod cold;
 mod cold_shares;
+mod companions;
 mod dead_connections;
 mod delays;
 mod displaced;
--- a/crates/thornbridge-core/src/gateway/tests/trial_support.rs
+++ b/crates/thornbridge-core/src/gateway/tests/trial_support.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 use thornbridge_config::routes::{Repeatability, Route, RouteTarget};
-use thornbridge_proto::peer::rollout::RouteReport;
+use thornbridge_proto::peer::rollout::{RouteReport, companions_of, route_of_companions};
 use thornbridge_proto::peer::view::{InstanceState, StoreRevision};
 use thornbridge_proto::{BackEndId, ServerVersion, ServiceName};
 
@@ -148,12 +148,29 @@
 
 /// Counts since the last report, of the only route.
 pub fn report(harness: &mut Harness) -> RouteReport {
+    let [route, companions] = reports(harness);
+    assert_eq!(companions.trial.total(), 0, "{companions:?}");
+    assert_eq!(companions.returned, 0, "{companions:?}");
+    route
+}
+
+/// Counts since the last report, of the only route and of its companions.
+pub fn reports(harness: &mut Harness) -> [RouteReport; 2] {
     let service = service_key(harness);
     let now = harness.now;
     let routes = harness.gateway.trials.take_report(now, service);
-    let mut routes = routes.unwrap_or_default();
-    assert!(routes.len() <= 1, "{routes:?}");
-    routes.pop().unwrap_or_default()
+    let routes = routes.unwrap_or_default().into_iter();
+    let is_companions = |report: &RouteReport| route_of_companions(&report.route).is_some();
+    let (companions, routes): (Vec<_>, Vec<_>) = routes.partition(is_companions);
+    [routes, companions].map(|mut reports| {
+        assert!(reports.len() <= 1, "{reports:?}");
+        reports.pop().unwrap_or_default()
+    })
+}
+
+/// Grants permits for companions of requests of the route.
+pub fn grant_companions(harness: &mut Harness, permits: u32) {
+    grant_for(harness, &companions_of(ROUTE), permits, None);
 }
 
 /// Servers that a request was sent to, in order.
--- a/crates/thornbridge-node/src/gateway/log_lines.rs
+++ b/crates/thornbridge-node/src/gateway/log_lines.rs
@@ -257,6 +257,8 @@
         trial_bad = change.trial.bad,
         stable_good = change.stable.good,
         stable_bad = change.stable.bad,
+        companions_good = change.companions.good,
+        companions_bad = change.companions.bad,
         elapsed_ms = millis(change.elapsed),
         era = change.revision.era,
         revision = change.revision.number;
--- a/crates/thornbridge-proto/src/peer/rollout.rs
+++ b/crates/thornbridge-proto/src/peer/rollout.rs
@@ -3,6 +3,12 @@
 //! A node sends to servers of a version on trial only with permits. It reports its requests and the
 //! outcomes of both versions to the node that conducts the roll-out, which answers with permits.
 //!
+//! A companion is a second attempt of a request at the same server at the same time. It shows what a
+//! version does with two requests at once. Companions of a route are named like a route of their own
+//! ([`companions_of`]), so that no message changes: earlier builds return their permits unused. In such
+//! a report, `trial` counts requests together with their companions, bad if either was, and `stable.good`
+//! the requests for which a companion could have been sent.
+//!
 //! Earlier builds cannot decode these messages. A node therefore sends them only to a peer that has
 //! sent one, or an empty [`QuarantineMessage`](super::quarantine::QuarantineMessage), which earlier
 //! builds ignore and never send.
@@ -11,6 +17,19 @@
 use crate::{BackEndId, ServerVersion, ServiceName};
 use serde::{Deserialize, Serialize};
 
+/// Ends the name of a route where it stands for the companions of its requests.
+const COMPANIONS_SUFFIX: &str = "\u{1f}companions";
+
+/// Name of the companions of a route's requests.
+pub fn companions_of(route: &str) -> String {
+    format!("{route}{COMPANIONS_SUFFIX}")
+}
+
+/// Route whose companions have this name; `None` if it is the name of a route.
+pub fn route_of_companions(name: &str) -> Option<&str> {
+    name.strip_suffix(COMPANIONS_SUFFIX)
+}
+
 /// State of a roll-out, as written to the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum RolloutState {
@@ -88,7 +107,7 @@
 /// What a node saw of a route since the order.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RouteReport {
-    /// Name of the route.
+    /// Name of the route, or of its companions.
     pub route: String,
     /// Requests sent to the service, at any version, since the last report.
     pub requests: u32,
@@ -118,7 +137,7 @@
     pub conducts: bool,
     /// Decision, once there is one, whether or not the store has it yet.
     pub decision: Option<RolloutState>,
-    /// Requests of each route that the receiver may send to the version on trial.
+    /// Requests of each route, and companions, that the receiver may send to the version on trial.
     pub permits: Vec<(String, u32)>,
     /// Time within which the permits must be used, in milliseconds.
     pub valid_ms: u32,
