States of roll-outs are written in time at high rates

What callers saw: a good version was not complete by the deadline, a bad one had no state by then.

Change: what became due since it was last looked at stays due; orders are read 0.1 s apart and count from as early as they may have been written; undecided ends are written after 0.35 s where other nodes report. Exposure is planned for the latest deadline. Ruled out: slow writes (each was answered at once).

Test: what_is_due_stays_due_after_other_events fails without the change (run).

--- a/crates/thornbridge-core/src/gateway/rollout_updates.rs
+++ b/crates/thornbridge-core/src/gateway/rollout_updates.rs
@@ -4,7 +4,7 @@
 use super::event::{SourceFailure, StateWriteReply, ViewObject};
 use super::parameters::{RolloutParameters, ViewParameters};
 use super::rollouts::orders::OrderUpdate;
-use super::rollouts::{Context, Rollouts};
+use super::rollouts::{Context, READING_TIME, Rollouts};
 use super::views::source::SourceUpdate;
 use crate::membership::MemberView;
 use crate::time::Timestamp;
@@ -24,6 +24,7 @@
 pub(super) fn order_reader_parameters(views: &ViewParameters) -> ViewParameters {
     ViewParameters {
         watch_wait: views.watch_wait * WATCH_FACTOR,
+        coalescing: views.coalescing.min(READING_TIME),
         ..views.clone()
     }
 }
@@ -101,10 +102,14 @@
 
     /// Orders among the objects of a reply; reports those that cannot be used.
     fn order_updates(&mut self, objects: Vec<ViewObject>) -> Vec<OrderUpdate> {
+        let age = self.rollout_source.change_age().min(READING_TIME);
         let mut updates = Vec::new();
         for object in objects {
             match object {
-                ViewObject::Rollout(order) => updates.push(OrderUpdate::Upserted(order)),
+                ViewObject::Rollout(order) => updates.push(OrderUpdate::Upserted(RolloutOrder {
+                    elapsed_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+                    ..order
+                })),
                 ViewObject::RolloutWithdrawn(revision, service) => {
                     updates.push(OrderUpdate::Withdrawn(revision, service));
                 }
--- a/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
@@ -127,10 +127,11 @@
 
     /// Decides and writes what is due for a roll-out.
     pub(super) fn advance(&mut self, context: &mut Context<'_>, service: &ServiceName) {
-        let (Some(rollout), Some(order)) = (self.active.get(service), self.orders.get(service))
+        let (Some(rollout), Some(order)) = (self.active.get_mut(service), self.orders.get(service))
         else {
             return;
         };
+        rollout.advanced_at = context.now;
         let is_unasked = rollout.conducts_unasked(context.now, order);
         if is_unasked && !self.hands_over(context.now, service) {
             self.start_conducting(context, service);
--- a/crates/thornbridge-core/src/gateway/rollouts/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/mod.rs
@@ -51,3 +51,4 @@
 mod writer;
 
 pub(super) use control::{Context, Rollouts};
+pub(super) use schedule::READING_TIME;
--- a/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
@@ -21,6 +21,8 @@
 /// Delay of the write of a decision by a conductor that knows little, so that one that knows more goes
 /// first: a node that lost sight of the others conducts as well.
 const BLIND_DELAY: Duration = Duration::from_millis(700);
+/// The same where other nodes report to the conductor, so that the state stands by the deadline.
+const UNDECIDED_DELAY: Duration = Duration::from_millis(350);
 /// Time after which another member writes a decision that the conductor has not written.
 const UNWRITTEN: Duration = Duration::from_secs(1);
 /// Delay for each rank, so that few members write the same.
@@ -50,6 +52,8 @@
 pub(in crate::gateway) struct KnownDecision {
     pub(in crate::gateway) state: RolloutState,
     pub(in crate::gateway) origin: DecisionOrigin,
+    /// Whether other nodes reported here lately.
+    hears_others: bool,
     at: Timestamp,
 }
 
@@ -68,6 +72,8 @@
     pub(in crate::gateway) conducting_since: Timestamp,
     pub(in crate::gateway) decision: Option<KnownDecision>,
     pub(in crate::gateway) writer: Writer,
+    /// When what was due was last done.
+    pub(in crate::gateway) advanced_at: Timestamp,
     /// Whether this node handed over and the log says so.
     pub(in crate::gateway) handed_over: bool,
     /// Nodes that report to this one, and when they last did.
@@ -86,6 +92,7 @@
             conducting_since: Timestamp::ZERO,
             decision: None,
             writer: Writer::default(),
+            advanced_at: Timestamp::ZERO,
             handed_over: false,
             reporters: BTreeMap::new(),
         }
@@ -176,6 +183,7 @@
         self.decision = Some(KnownDecision {
             state,
             origin,
+            hears_others: self.hears_others(now),
             at: now,
         });
         self.conductor = None;
@@ -205,7 +213,15 @@
         reports.any(|at| now.since(*at) < INFORMED_FOR)
     }
 
-    /// Next time at which something is due, later than now.
+    /// Whether a node other than this one reported here lately.
+    fn hears_others(&self, now: Timestamp) -> bool {
+        let own = self.own_rank.and_then(|rank| self.candidates.get(rank));
+        let mut reports = self.reporters.iter();
+        reports.any(|(node, at)| Some(node) != own && now.since(*at) < INFORMED_FOR)
+    }
+
+    /// Next time at which something is due. It may have passed, if other events came first; what was due
+    /// when it was last looked at is not due again.
     pub(in crate::gateway) fn next_timeout(
         &self,
         now: Timestamp,
@@ -223,7 +239,7 @@
             takeover,
         ];
         let timeouts = timeouts.into_iter().flatten();
-        timeouts.filter(|at| *at > now).min()
+        timeouts.filter(|at| *at > self.advanced_at).min()
     }
 }
 
@@ -232,6 +248,7 @@
     match (decision.origin, decision.state) {
         (DecisionOrigin::Own, RolloutState::Complete) => MOVING,
         (DecisionOrigin::Own, _) => Duration::ZERO,
+        (DecisionOrigin::Blind, _) if decision.hears_others => UNDECIDED_DELAY,
         (DecisionOrigin::Blind, _) => BLIND_DELAY,
         (DecisionOrigin::Learnt, _) => UNWRITTEN + delay_of_rank(rank),
     }
--- a/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
@@ -20,6 +20,9 @@
 const COMPANION_TIME_SHARE: f64 = 0.85;
 /// Part of the period, at its end, that is left for completion.
 const LEAD_SHARE: f64 = 0.1;
+/// Longest time from the write of an order until a node has read it, while the store answers: the pause
+/// between two reads. The order counts as written as much earlier as it may have been.
+pub(in crate::gateway) const READING_TIME: Duration = Duration::from_millis(100);
 /// Least time from the decision to the deadline: requests move to the new version, the state is written,
 /// and written again if its first write fails.
 const LEAD_MINIMUM: Duration = Duration::from_millis(600);
@@ -133,7 +136,8 @@
 
     /// Most requests that are expected in the least time left for completion.
     pub(super) fn completion_reserve(&mut self, now: Timestamp) -> f64 {
-        most_around(self.rate_per_s(now) * LEAD_MINIMUM.as_secs_f64())
+        let completion_time = LEAD_MINIMUM + READING_TIME;
+        most_around(self.rate_per_s(now) * completion_time.as_secs_f64())
     }
 
     fn sampling_time(&self) -> Duration {
@@ -145,14 +149,16 @@
         lead.max(LEAD_MINIMUM)
     }
 
+    /// Time from the decision to the deadline. The deadline of the store may be later, since the order may
+    /// be younger than it counts.
     fn lead(&mut self, now: Timestamp, completion_total: f64) -> Duration {
         let longest = self.longest_lead();
         let rate_per_s = self.rate_per_s(now);
         let requests = mean_within(completion_total);
-        if rate_per_s * longest.as_secs_f64() <= requests {
+        if rate_per_s * (longest + READING_TIME).as_secs_f64() <= requests {
             return longest;
         }
-        Duration::from_secs_f64(requests / rate_per_s)
+        Duration::from_secs_f64(requests / rate_per_s).saturating_sub(READING_TIME)
     }
 }
 
--- a/crates/thornbridge-core/src/gateway/rollouts/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/mod.rs
@@ -7,5 +7,6 @@
 mod schedule;
 mod simulation;
 mod support;
+mod timeouts;
 mod trials;
 mod verdict;
--- a/crates/thornbridge-core/src/gateway/views/source.rs
+++ b/crates/thornbridge-core/src/gateway/views/source.rs
@@ -29,6 +29,9 @@
 /// successful reader updates the other members.
 const RANKS_PER_BACKOFF_UNIT: f64 = 8.0;
 
+/// Time within which a watch is answered that had changes to return from the start.
+const IMMEDIATE_REPLY: Duration = Duration::from_millis(100);
+
 /// State of a reader, with the time at which it ends.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum ReaderState {
@@ -83,6 +86,10 @@
     follows_peers: bool,
     /// When the store last confirmed the view.
     confirmed_at: Option<Timestamp>,
+    /// When the read in flight, or the last one, began.
+    read_since: Timestamp,
+    /// Time for which the changes of the last reply may have been in the store.
+    change_age: Duration,
     /// Position in the reader order.
     rank: usize,
 }
@@ -103,6 +110,8 @@
             reachable: true,
             follows_peers: false,
             confirmed_at: None,
+            read_since: Timestamp::ZERO,
+            change_age: Duration::ZERO,
             rank: 0,
         }
     }
@@ -145,6 +154,12 @@
         self.confirmed_at
     }
 
+    /// Longest time for which the changes of the last reply may have been in the store unread: those that a
+    /// watch had to wait for are new. Zero if unknown.
+    pub(in crate::gateway) fn change_age(&self) -> Duration {
+        self.change_age
+    }
+
     /// Time since the store last answered a read of this view.
     pub(in crate::gateway) fn age(&self, now: Timestamp) -> Duration {
         now.since(self.last_answer_at)
@@ -195,6 +210,7 @@
         match result {
             Ok(reply) => {
                 self.read_answered(now, actions);
+                self.change_age = self.unread_time(now);
                 let update = self.apply_reply(now, reply);
                 match &update {
                     Some(SourceUpdate::Changes(objects, _)) if !objects.is_empty() => {
@@ -217,6 +233,15 @@
         }
     }
 
+    fn unread_time(&self, now: Timestamp) -> Duration {
+        let waited = matches!(self.state, ReaderState::Watching(_))
+            && now.since(self.read_since) > IMMEDIATE_REPLY;
+        match self.confirmed_at {
+            Some(confirmed_at) if !waited => now.since(confirmed_at),
+            _ => Duration::ZERO,
+        }
+    }
+
     fn apply_reply(&mut self, now: Timestamp, reply: SourceReply) -> Option<SourceUpdate> {
         match reply {
             SourceReply::Page { objects, next, at } => {
@@ -259,6 +284,7 @@
             return;
         }
         self.read_id += 1;
+        self.read_since = now;
         let (what, timeout) = match self.revision {
             Some(from) => {
                 let wait = self.parameters.watch_wait;
