Slowness of a request with a companion counts once

Cause, found by reading: slow answers of pairs were dropped, so that a version that is only slow would be seen in requests without companions alone.

Change: the request counts as slow from twice the usual limit on, its companion does not. Two tests, one for each direction.

--- a/crates/thornbridge-core/src/gateway/exchange/trials.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/trials.rs
@@ -22,6 +22,8 @@
 
 /// Multiple of a route's usual work from which an answer counts as bad.
 const SLOW_FACTOR: u32 = 3;
+/// Requests that a server has at once with a companion, which may wait for each other.
+const WITH_COMPANION: u32 = 2;
 /// Quantile of a route's work that counts as usual.
 const USUAL_QUANTILE: f64 = 0.5;
 
@@ -170,8 +172,12 @@
     };
     let round_trip = server.round_trip();
     let took = context.now.since(record.sent_at);
+    let slow_factor = match record.pair {
+        None => SLOW_FACTOR,
+        Some(_) => SLOW_FACTOR * WITH_COMPANION,
+    };
     let limit = usual_work(context, record.route);
-    let limit = limit.map(|work| round_trip + work * SLOW_FACTOR);
+    let limit = limit.map(|work| round_trip + work * slow_factor);
     let is_slow = limit.is_some_and(|limit| took > limit);
     let good = match outcome {
         AttemptOutcome::Answered => !is_slow,
@@ -187,9 +193,10 @@
         context.trials.record_outcome(service, route, arm, good);
         return;
     };
-    // A request and its companion may wait for each other: only their failures count.
+    // A request and its companion wait for each other, and for the same pause of a server: slowness counts
+    // once, for the request.
     let fails = !good && outcome != AttemptOutcome::Answered;
-    if fails || good {
+    if good || fails || record.cause == AttemptCause::First {
         context.trials.record_outcome(service, route, arm, good);
     }
     context.trials.record_pair(service, route, request, !fails);
--- a/crates/thornbridge-core/src/gateway/tests/companions.rs
+++ b/crates/thornbridge-core/src/gateway/tests/companions.rs
@@ -8,6 +8,7 @@
 use crate::driver_action::CallerId;
 use crate::gateway::{ExchangeFailure, GatewayAnswer, GatewayEvent, ReplyVerdict};
 use assert_matches::assert_matches;
+use std::time::Duration;
 use thornbridge_config::routes::Repeatability;
 use thornbridge_proto::AttemptId;
 use thornbridge_proto::peer::rollout::Outcomes;
@@ -110,6 +111,50 @@
     assert_eq!(route.requests, 1);
 }
 
+/// Outcomes, of attempts and of pairs, if both attempts of a pair are answered after a multiple of the usual
+/// time.
+fn outcomes_after(multiple: u32) -> [Outcomes; 2] {
+    const USUAL: Duration = Duration::from_millis(6);
+    let mut harness = trial();
+    for _ in 0..40 {
+        let caller = harness.send_request("/x");
+        harness.advance(USUAL);
+        for sent in harness.sent_for(caller) {
+            harness.reply(sent.attempt, answer(RECORD));
+        }
+    }
+    grant(&mut harness, 2);
+    let callers = [0, 1].map(|_| harness.send_request("/x"));
+    harness.advance(USUAL);
+    for caller in callers {
+        for sent in harness.sent_for(caller) {
+            harness.reply(sent.attempt, answer(RECORD));
+        }
+    }
+    let (_, pair) = send_pair(&mut harness);
+    harness.advance(USUAL * multiple);
+    for attempt in pair {
+        harness.reply(attempt, answer(RECORD));
+    }
+    reports(&mut harness).map(|report| report.trial)
+}
+
+/// Guards against good versions that are condemned because a request and its companion wait for each other.
+#[test]
+fn waiting_for_the_other_one_is_good() {
+    let [attempts, pairs] = outcomes_after(4);
+    assert_eq!(attempts, Outcomes { good: 4, bad: 0 });
+    assert_eq!(pairs, Outcomes { good: 1, bad: 0 });
+}
+
+/// Guards against slow versions that are seen with companions only.
+#[test]
+fn slowness_of_a_pair_counts_once() {
+    let [attempts, pairs] = outcomes_after(10);
+    assert_eq!(attempts, Outcomes { good: 2, bad: 1 });
+    assert_eq!(pairs, Outcomes { good: 1, bad: 0 });
+}
+
 #[test]
 fn caller_gets_the_first_good_answer() {
     let mut harness = ready_trial();
