Reread: requests of services without a roll-out do nothing for companions

Every first attempt of a repeatable route formatted a name and looked through the windows of its budget, on every deployment. Only services with a trial do. The time at which the first state is due is when conducting began, not the present, which would make it due at every event.

--- a/crates/thornbridge-core/src/gateway/exchange/trials.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/trials.rs
@@ -147,7 +147,7 @@
     if part.is_first_attempt(cause) {
         let route = &request.route.route.name;
         context.trials.record_request(part.service, route);
-        if is_repeatable(&request.route) {
+        if is_repeatable(&request.route) && context.trials.has_begun(part.service) {
             let now = context.now;
             let affordable = context.budget.may_allow_by(now, now, part.service);
             let trials = &mut context.trials;
--- a/crates/thornbridge-core/src/gateway/rollout_updates.rs
+++ b/crates/thornbridge-core/src/gateway/rollout_updates.rs
@@ -58,7 +58,7 @@
             return None;
         }
         let read = self.rollout_source.next_timeout();
-        let rollouts = self.rollouts.next_timeout(self.now);
+        let rollouts = self.rollouts.next_timeout();
         rollouts.into_iter().chain([read]).min()
     }
 
--- a/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conducting.rs
@@ -212,7 +212,7 @@
         if rollout.writer.expire(context.now) {
             self.write_failed_at = Some(context.now);
         }
-        let due = rollout.write_due(context.now, order);
+        let due = rollout.write_due(order);
         let Some((state, _)) = due.filter(|(_, at)| *at <= context.now) else {
             return;
         };
--- a/crates/thornbridge-core/src/gateway/rollouts/control.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/control.rs
@@ -133,7 +133,7 @@
     }
 
     /// Latest time at which [`Self::timer_due`] must be called.
-    pub(in crate::gateway) fn next_timeout(&self, now: Timestamp) -> Option<Timestamp> {
+    pub(in crate::gateway) fn next_timeout(&self) -> Option<Timestamp> {
         if !self.is_enabled() {
             return None;
         }
@@ -141,7 +141,7 @@
         let gossip = self.gossips().then_some(self.next_gossip);
         let active = self.active.iter().filter_map(|(service, rollout)| {
             let order = self.orders.get(service)?;
-            rollout.next_timeout(now, order)
+            rollout.next_timeout(order)
         });
         active.chain(report).chain(gossip).min()
     }
--- a/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/rollout.rs
@@ -192,7 +192,6 @@
     /// State to write, and from when on.
     pub(in crate::gateway) fn write_due(
         &self,
-        now: Timestamp,
         order: &KnownOrder,
     ) -> Option<(RolloutState, Timestamp)> {
         let rank = self.own_rank?;
@@ -204,7 +203,7 @@
             return Some((decision.state, at));
         }
         let starts = self.conductor.is_some() && order.reached.is_none();
-        starts.then_some((RolloutState::Serving, now))
+        starts.then_some((RolloutState::Serving, self.conducting_since))
     }
 
     /// Whether a node reported here lately.
@@ -222,19 +221,15 @@
 
     /// Next time at which something is due. It may have passed, if other events came first; what was due
     /// when it was last looked at is not due again.
-    pub(in crate::gateway) fn next_timeout(
-        &self,
-        now: Timestamp,
-        order: &KnownOrder,
-    ) -> Option<Timestamp> {
+    pub(in crate::gateway) fn next_timeout(&self, order: &KnownOrder) -> Option<Timestamp> {
         let conductor = self.conductor.as_ref();
-        let write = self.write_due(now, order);
+        let write = self.write_due(order);
         let takeover = self.own_rank.map(|rank| self.takeover_at(order, rank));
         let timeouts = [
             conductor.and_then(Conductor::next_timeout),
             conductor.map(|_| self.decides_from()),
             write.map(|(_, at)| at),
-            self.writer.next_timeout(now),
+            Some(self.writer.next_timeout()),
             self.reporter.next_timeout(),
             takeover,
         ];
--- a/crates/thornbridge-core/src/gateway/rollouts/tests/timeouts.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/tests/timeouts.rs
@@ -24,10 +24,7 @@
     let mut rollout = Rollout::new(order(), ServiceKey(0));
     rollout.set_members(node(0), &[node(0)]);
     rollout.advanced_at = at_ms(11_900);
-    assert_eq!(
-        rollout.next_timeout(at_ms(12_010), known),
-        Some(at_ms(12_000))
-    );
+    assert_eq!(rollout.next_timeout(known), Some(at_ms(12_000)));
     rollout.advanced_at = at_ms(12_010);
-    assert_eq!(rollout.next_timeout(at_ms(12_010), known), None);
+    assert_eq!(rollout.next_timeout(known), None);
 }
--- a/crates/thornbridge-core/src/gateway/rollouts/writer.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/writer.rs
@@ -97,10 +97,10 @@
     }
 
     /// When a pending write expires, or the next one may start.
-    pub(in crate::gateway) fn next_timeout(&self, now: Timestamp) -> Option<Timestamp> {
+    pub(in crate::gateway) fn next_timeout(&self) -> Timestamp {
         match &self.pending {
-            Some(pending) => Some(pending.expires),
-            None => (self.not_before > now).then_some(self.not_before),
+            Some(pending) => pending.expires,
+            None => self.not_before,
         }
     }
 }
