--- a/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/conductor.rs
@@ -4,6 +4,7 @@
 //! [`Decision`] come out.
 
 use super::companion_nodes::CompanionNodes;
+use super::division::{self, CompanionPlan, RouteShare};
 use super::exposure::{CompanionFund, Ledger};
 use super::pace::Pace;
 use super::reuse::{LifetimeBounds, Reuse};
@@ -332,8 +333,7 @@
         self.ledger.spent() - self.pace.expected_returns()
     }
 
-    /// Divides permits among routes: those with the fewest answers and outstanding permits first, to each
-    /// no more than it has requests. Part of the permits are for companions of these requests.
+    /// Shares of the routes that a node reports on.
     fn divide<'a>(
         &mut self,
         now: Timestamp,
@@ -342,43 +342,15 @@
         reports: &'a [RouteReport],
     ) -> Vec<RouteShare<'a>> {
         let sends_companions = self.schedule.sends_companions(now);
-        let admits = sends_companions && self.companion_nodes.admit(now, node);
-        let further_requests = self.schedule.further_requests(now);
-        let reserve = self.schedule.completion_reserve(now);
+        let companions = CompanionPlan {
+            admitted: sends_companions && self.companion_nodes.admit(now, node),
+            further_requests: self.schedule.further_requests(now),
+            reserve: self.schedule.completion_reserve(now),
+        };
         let routes = reports.iter();
         let routes = routes.filter(|report| route_of_companions(&report.route).is_none());
-        let mut shares: Vec<RouteShare<'a>> =
-            routes.map(|route| self.share_of(node, route)).collect();
-        let mut left = permits;
-        let (mut paid, mut spare) = (0, 0);
-        while left > 0 {
-            let open = shares.iter_mut().filter(|share| share.is_open());
-            let Some(share) = open.min_by_key(|share| share.sampled) else {
-                break;
-            };
-            let fund = match admits && share.accepts_companions {
-                true => {
-                    let further = (permits - left, paid);
-                    self.ledger
-                        .companion_fund(further, spare, further_requests, reserve)
-                }
-                false => None,
-            };
-            match fund {
-                None => {}
-                Some(CompanionFund::Spare) => spare += 1,
-                // A companion is worth waiting for the permits of a pair.
-                Some(CompanionFund::Sample) if left == 1 => break,
-                Some(CompanionFund::Sample) => {
-                    paid += 1;
-                    left -= 1;
-                }
-            }
-            left -= 1;
-            share.grant(fund);
-        }
-        shares.retain(|share| share.permits > 0);
-        shares
+        let shares = routes.map(|route| self.share_of(node, route)).collect();
+        division::divide(shares, permits, &self.ledger, companions)
     }
 
     fn share_of<'a>(&self, node: SocketAddr, report: &'a RouteReport) -> RouteShare<'a> {
@@ -410,44 +382,3 @@
         longest: longest.max(PERMIT_LIFETIME_MINIMUM),
     }
 }
-
-/// Permits of a route while they are divided.
-#[derive(Debug)]
-struct RouteShare<'a> {
-    route: &'a str,
-    requests: u32,
-    /// Whether the node can send companions of such requests now.
-    accepts_companions: bool,
-    /// Answers of the version on trial and outstanding permits.
-    sampled: u32,
-    permits: u32,
-    /// Companions paid from the sample, and from what is spare.
-    paid_companions: u32,
-    spare_companions: u32,
-}
-
-impl RouteShare<'_> {
-    /// Permits by the name under which they are granted.
-    fn permits(&self) -> impl Iterator<Item = (String, u32)> {
-        let requests = (self.route.to_owned(), self.permits);
-        let companions = self.paid_companions + self.spare_companions;
-        let companions = (companions_of(self.route), companions);
-        [requests, companions]
-            .into_iter()
-            .filter(|(_, permits)| *permits > 0)
-    }
-
-    fn grant(&mut self, companion: Option<CompanionFund>) {
-        self.permits += 1;
-        self.sampled += 1;
-        match companion {
-            None => {}
-            Some(CompanionFund::Spare) => self.spare_companions += 1,
-            Some(CompanionFund::Sample) => self.paid_companions += 1,
-        }
-    }
-
-    fn is_open(&self) -> bool {
-        self.permits < self.requests
-    }
-}
--- a/crates/thornbridge-core/src/gateway/rollouts/exposure.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/exposure.rs
@@ -5,6 +5,7 @@
 //! pays for companions; without it, they are paid from a sample that is large enough. A granted permit
 //! counts as spent until a node returns it.
 
+use super::division::CompanionPlan;
 use crate::gateway::parameters::RolloutParameters;
 
 /// Part of the bound that the sample may spend.
@@ -33,9 +34,8 @@
     returned: u64,
     /// Companions among the permits above.
     companions: u64,
-    /// Companions that were paid from what is spare.
-    spare_granted: u64,
-    spare_returned: u64,
+    /// Companions paid from what is spare that were granted and not returned.
+    spare_spent: u64,
 }
 
 /// What pays for a companion.
@@ -57,8 +57,7 @@
             granted: 0,
             returned: 0,
             companions: 0,
-            spare_granted: 0,
-            spare_returned: 0,
+            spare_spent: 0,
         }
     }
 
@@ -82,7 +81,7 @@
     pub(super) fn record_companions(&mut self, fund: CompanionFund, permits: u32) {
         let permits = u64::from(permits);
         match fund {
-            CompanionFund::Spare => self.spare_granted += permits,
+            CompanionFund::Spare => self.spare_spent += permits,
             CompanionFund::Sample => {
                 self.granted += permits;
                 self.companions += permits;
@@ -93,39 +92,35 @@
     /// Takes back permits of companions: first those paid from what is spare, which is least.
     pub(super) fn record_returned_companions(&mut self, permits: u32) {
         let permits = u64::from(permits);
-        let spare = permits.min(self.spare_granted - self.spare_returned);
-        self.spare_returned += spare;
+        let spare = permits.min(self.spare_spent);
+        self.spare_spent -= spare;
         self.returned += permits - spare;
         self.companions = self.companions.saturating_sub(permits - spare);
     }
 
     /// What pays for the next companion; `None` if nothing does. `further`: permits of the sample that
     /// are not recorded yet, and the companions among them. `further_spare`: companions paid from what is
-    /// spare that are not recorded yet. `reserve`: requests that completion needs.
+    /// spare that are not recorded yet.
     pub(super) fn companion_fund(
         &self,
         further: (u32, u32),
         further_spare: u32,
-        further_requests: f64,
-        reserve: f64,
+        plan: CompanionPlan,
     ) -> Option<CompanionFund> {
-        let spare_spent = self.spare_spent() + f64::from(further_spare);
-        let spare = (1.0 - SAMPLE_SHARE) * self.total(self.requests as f64) - reserve - spare_spent;
+        let spare_spent = self.spare_spent as f64 + f64::from(further_spare);
+        let spare =
+            (1.0 - SAMPLE_SHARE) * self.total(self.requests as f64) - plan.reserve - spare_spent;
         if spare >= 1.0 {
             return Some(CompanionFund::Spare);
         }
         let (permits, companions) = further;
         let spent = self.spent() + f64::from(permits);
         let companions = self.companions as f64 + f64::from(companions);
-        let is_large = self.sample_total(further_requests) >= SHARED_SAMPLE_MINIMUM;
+        let is_large = self.sample_total(plan.further_requests) >= SHARED_SAMPLE_MINIMUM;
         let is_due = companions + 1.0 <= COMPANION_SHARE * (spent + 2.0);
         (is_large && is_due).then_some(CompanionFund::Sample)
     }
 
-    fn spare_spent(&self) -> f64 {
-        (self.spare_granted - self.spare_returned) as f64
-    }
-
     /// Requests that may go to the new version in all.
     fn total(&self, requests: f64) -> f64 {
         self.earned(requests) + self.slack
@@ -171,10 +166,9 @@
     ) -> f64 {
         let total = self.total(self.requests.max(attempts) as f64);
         let own_part = (1.0 - SAMPLE_SHARE) * total;
-        let spare_spent = self
-            .spare_spent()
-            .max(f64::from(companions) - self.companions as f64);
-        let spent = (self.spent() + self.spare_spent()).max(f64::from(answers));
+        let own_spare = self.spare_spent as f64;
+        let spare_spent = own_spare.max(f64::from(companions) - self.companions as f64);
+        let spent = (self.spent() + own_spare).max(f64::from(answers));
         let left = (total - spent).min(own_part.max(reserve));
         left.max(own_part - spare_spent)
     }
--- a/crates/thornbridge-core/src/gateway/rollouts/mod.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/mod.rs
@@ -21,7 +21,7 @@
 //! | `telemetry` | steps for logs and metrics |
 //! | [`conductor`] | permits and the comparison of the versions |
 //! | `exposure`, `reuse`, `pace`, `schedule` | how many permits there are, and when |
-//! | `companion_nodes` | nodes that send companions |
+//! | `division`, `companion_nodes` | permits by route, and which nodes send companions |
 //! | `totals`, `evidence`, `stable_share`, `verdict` | the comparison |
 //! | [`trials`] | permits and counts at this node |
 
@@ -29,6 +29,7 @@
 mod conducting;
 pub(super) mod conductor;
 pub(super) mod control;
+mod division;
 mod established;
 mod evidence;
 mod exposure;
--- a/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/schedule.rs
@@ -23,8 +23,8 @@
 /// Longest time from the write of an order until a node has read it, while the store answers: the pause
 /// between two reads. The order counts as written as much earlier as it may have been.
 pub(in crate::gateway) const READING_TIME: Duration = Duration::from_millis(100);
-/// Least time from the decision to the deadline: requests move to the new version, the state is written,
-/// and written again if its first write fails.
+/// Least time from the decision to the deadline: requests move to the new version, then the state is
+/// written.
 const LEAD_MINIMUM: Duration = Duration::from_millis(600);
 /// Time in which a new conductor gets the totals of the nodes, before it decides on time.
 const GATHERING_TIME: Duration = Duration::from_millis(500);
@@ -112,8 +112,8 @@
         EARLY_SAMPLE_SHARE + (1.0 - EARLY_SAMPLE_SHARE) * late_share
     }
 
-    /// Whether companions are sent now. Versions that are bad under load are so from the start; the later
-    /// part of the sample is left to versions that turn bad, spread as evenly as possible.
+    /// Whether companions are sent now. A version that is bad under load is so from the start; the last
+    /// part of the sample is left to versions that turn bad.
     pub(super) fn sends_companions(&self, now: Timestamp) -> bool {
         let elapsed = now.since(self.timing.ordered_at);
         elapsed < self.sampling_time().mul_f64(COMPANION_TIME_SHARE)
--- a/crates/thornbridge-core/src/gateway/rollouts/stable_share.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/stable_share.rs
@@ -48,7 +48,7 @@
     }
 
     /// Answers of the window.
-    pub(super) fn recent(&mut self, now: Timestamp) -> Outcomes {
+    pub(super) fn outcomes(&mut self, now: Timestamp) -> Outcomes {
         let bad = self.bad.sum(now);
         let good = self.answers.sum(now) - bad;
         Outcomes {
@@ -102,6 +102,6 @@
 
     /// Answers in the short window.
     pub(super) fn recent(&mut self, now: Timestamp) -> Outcomes {
-        self.short.recent(now)
+        self.short.outcomes(now)
     }
 }
--- a/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
+++ b/crates/thornbridge-core/src/gateway/rollouts/verdict.rs
@@ -138,7 +138,6 @@
 
     /// Adds outcomes of a route's requests together with their companions.
     pub(super) fn add_companions(&mut self, now: Timestamp, route: &str, trial: Outcomes) {
-        let _ = self.route_mut(route);
         add_outcomes(&mut self.companions, trial);
         self.judge_later(now, route, Sample::Companion, trial);
     }
@@ -256,7 +255,7 @@
     }
 
     fn judge_companions(&mut self, now: Timestamp, trial: Outcomes, nats: f64) {
-        let recent_stable = self.stable.recent(now);
+        let recent_stable = self.stable.outcomes(now);
         self.beside_others.add_trial(trial, nats, recent_stable);
         self.beside_others_nats += nats;
         if self.beside_others.nats <= 0.0 {
--- a/crates/thornbridge-core/src/gateway/servers/connections.rs
+++ b/crates/thornbridge-core/src/gateway/servers/connections.rs
@@ -12,7 +12,7 @@
 use crate::time::Timestamp;
 use std::collections::VecDeque;
 use std::time::Duration;
-use thornbridge_proto::{AttemptId, BackEndId};
+use thornbridge_proto::AttemptId;
 
 /// Connections to each server of a service without a configured limit.
 const DEFAULT_CONNECTION_LIMIT: u32 = 2;
@@ -22,8 +22,6 @@
 const MAX_KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(500);
 /// Factor on the number of owners: member lists differ, so more nodes may consider themselves owners.
 const OWNER_COUNT_FACTOR: u32 = 2;
-/// Connections of a request and its companion.
-const REQUEST_AND_COMPANION: u32 = 2;
 /// Time after startup during which connections are opened ahead of use even if they are scarce.
 const SCARCITY_STARTUP_GRACE: Duration = Duration::from_millis(1_500);
 
@@ -51,7 +49,7 @@
 
 impl Servers {
     /// Updates and returns the number of connections that this node may have to each server.
-    fn connection_limit(&mut self, now: Timestamp, service: ServiceKey) -> u32 {
+    pub(super) fn connection_limit(&mut self, now: Timestamp, service: ServiceKey) -> u32 {
         let limit = self.compute_connection_limit(now, service);
         self.services[service.0 as usize].own_connection_limit = limit;
         limit
@@ -122,7 +120,7 @@
     }
 
     /// Opens a connection if backoff and this limit allow it; returns whether it did.
-    fn open_within(
+    pub(super) fn open_within(
         &mut self,
         now: Timestamp,
         actions: &mut VecDeque<GatewayAction>,
@@ -193,33 +191,6 @@
         }
     }
 
-    /// Opens connections for a request and its companion at a server of a version on trial, also beyond
-    /// this node's limit: few nodes send companions at a time. `None`: no server is named, and connections
-    /// are opened on demand.
-    pub(in crate::gateway) fn open_for_companion(
-        &mut self,
-        now: Timestamp,
-        actions: &mut VecDeque<GatewayAction>,
-        service: ServiceKey,
-        instance: Option<&BackEndId>,
-    ) {
-        let keys = &self.services[service.0 as usize].servers;
-        let mut keys = keys.iter().copied();
-        let is_named = |key: &ServerKey| {
-            let server = self.servers.get(key);
-            server.is_some_and(|server| server.takes_trials() && Some(&server.id) == instance)
-        };
-        let Some(key) = keys.find(is_named) else {
-            return;
-        };
-        let connected = self.servers.get(&key);
-        let connected = connected.map_or(0, |server| server.open + server.opening);
-        let limit = self.connection_limit(now, service);
-        for _ in connected..REQUEST_AND_COMPANION {
-            self.open_within(now, actions, key, limit.max(REQUEST_AND_COMPANION));
-        }
-    }
-
     /// Servers of a service to connect to ahead of use among those that are `usable`, at most
     /// `servers_ahead` connected in total.
     ///
--- a/crates/thornbridge-core/src/gateway/servers/versions.rs
+++ b/crates/thornbridge-core/src/gateway/servers/versions.rs
@@ -9,6 +9,9 @@
 use thornbridge_proto::peer::view::Instance;
 use thornbridge_proto::{BackEndId, ServerVersion};
 
+/// Connections of a request and its companion.
+const REQUEST_AND_COMPANION: u32 = 2;
+
 /// What servers of a version get.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(in crate::gateway) enum VersionRole {
@@ -161,6 +164,33 @@
         warm.map(|server| server.id.clone()).collect()
     }
 
+    /// Opens connections for a request and its companion at a server of a version on trial, also beyond
+    /// this node's limit: few nodes send companions at a time. `None`: no server is named, and connections
+    /// are opened on demand.
+    pub(in crate::gateway) fn open_for_companion(
+        &mut self,
+        now: Timestamp,
+        actions: &mut VecDeque<GatewayAction>,
+        service: ServiceKey,
+        instance: Option<&BackEndId>,
+    ) {
+        let keys = &self.services[service.0 as usize].servers;
+        let mut keys = keys.iter().copied();
+        let is_named = |key: &ServerKey| {
+            let server = self.servers.get(key);
+            server.is_some_and(|server| server.takes_trials() && Some(&server.id) == instance)
+        };
+        let Some(key) = keys.find(is_named) else {
+            return;
+        };
+        let connected = self.servers.get(&key);
+        let connected = connected.map_or(0, |server| server.open + server.opening);
+        let limit = self.connection_limit(now, service);
+        for _ in connected..REQUEST_AND_COMPANION {
+            self.open_within(now, actions, key, limit.max(REQUEST_AND_COMPANION));
+        }
+    }
+
     /// Closes the idle connections to servers of a service that get no requests.
     pub(in crate::gateway) fn close_idle_of_unused(
         &mut self,
--- a/crates/thornbridge-core/src/gateway/tests/companions.rs
+++ b/crates/thornbridge-core/src/gateway/tests/companions.rs
@@ -13,19 +13,31 @@
 use thornbridge_proto::AttemptId;
 use thornbridge_proto::peer::rollout::Outcomes;
 
-/// Trial whose next request has an idle connection for a companion, which the budget allows.
-fn ready_trial() -> Harness {
-    let mut harness = trial();
-    for _ in 0..40 {
-        let _ = answered_request(&mut harness);
-    }
-    grant(&mut harness, 2);
-    let callers = [0, 1].map(|_| harness.send_request("/x"));
+/// Sends requests and answers their attempts after a time.
+fn answer_requests(harness: &mut Harness, requests: usize, after: Duration) {
+    let callers: Vec<CallerId> = (0..requests).map(|_| harness.send_request("/x")).collect();
+    harness.advance(after);
     for caller in callers {
         for sent in harness.sent_for(caller) {
             harness.reply(sent.attempt, answer(RECORD));
         }
     }
+}
+
+/// Trial whose next request has an idle connection for a companion, which the budget allows. Answers
+/// usually take this time.
+fn trial_with_answers_after(usual: Duration) -> Harness {
+    let mut harness = trial();
+    for _ in 0..40 {
+        answer_requests(&mut harness, 1, usual);
+    }
+    grant(&mut harness, 2);
+    answer_requests(&mut harness, 2, usual);
+    harness
+}
+
+fn ready_trial() -> Harness {
+    let mut harness = trial_with_answers_after(Duration::ZERO);
     let _ = reports(&mut harness);
     harness
 }
@@ -115,22 +127,7 @@
 /// time.
 fn outcomes_after(multiple: u32) -> [Outcomes; 2] {
     const USUAL: Duration = Duration::from_millis(6);
-    let mut harness = trial();
-    for _ in 0..40 {
-        let caller = harness.send_request("/x");
-        harness.advance(USUAL);
-        for sent in harness.sent_for(caller) {
-            harness.reply(sent.attempt, answer(RECORD));
-        }
-    }
-    grant(&mut harness, 2);
-    let callers = [0, 1].map(|_| harness.send_request("/x"));
-    harness.advance(USUAL);
-    for caller in callers {
-        for sent in harness.sent_for(caller) {
-            harness.reply(sent.attempt, answer(RECORD));
-        }
-    }
+    let mut harness = trial_with_answers_after(USUAL);
     let (_, pair) = send_pair(&mut harness);
     harness.advance(USUAL * multiple);
     for attempt in pair {
