Why a reply was not used, and bytes that nobody asked for, in log and metrics

`notable` names `other_request`, `unsigned` or `encoded`; the metrics gain `unidentified_answers` and `surplus_bytes`.

--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -54,8 +54,30 @@
     NotRun,
     /// Another instance has taken over the address; the request did not run.
     WrongInstance,
-    /// Reply to a different request, altered or unsigned.
-    Invalid,
+    /// Not a reply of the server to this request.
+    Invalid(InvalidReply),
+}
+
+/// Why a reply cannot be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum InvalidReply {
+    /// It carries the id of another request.
+    OtherRequest,
+    /// Its body is encoded.
+    Encoded,
+    /// It carries no signature.
+    Unsigned,
+}
+
+impl InvalidReply {
+    /// Label for logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::OtherRequest => "other_request",
+            Self::Encoded => "encoded",
+            Self::Unsigned => "unsigned",
+        }
+    }
 }
 
 /// Complete reply of a server.
--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -328,7 +328,7 @@
                     .servers
                     .found_displaced(context.actions, record.target.server);
             }
-            AttemptOutcome::ServerFailure | AttemptOutcome::Invalid => {
+            AttemptOutcome::ServerFailure | AttemptOutcome::Invalid(_) => {
                 self.add_failure_cost(
                     context,
                     record.target.server,
@@ -345,7 +345,7 @@
     match reply.verdict {
         ReplyVerdict::NotRun => AttemptOutcome::NotRun,
         ReplyVerdict::WrongInstance => AttemptOutcome::WrongInstance,
-        ReplyVerdict::Invalid => AttemptOutcome::Invalid,
+        ReplyVerdict::Invalid(reason) => AttemptOutcome::Invalid(reason),
         ReplyVerdict::Answer if reply.status >= FIRST_SERVER_ERROR_STATUS => {
             AttemptOutcome::ServerFailure
         }
--- a/crates/thornbridge-core/src/gateway/exchange/trials.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/trials.rs
@@ -182,7 +182,7 @@
     let good = match outcome {
         AttemptOutcome::Answered => !is_slow,
         AttemptOutcome::ServerFailure
-        | AttemptOutcome::Invalid
+        | AttemptOutcome::Invalid(_)
         | AttemptOutcome::Broken
         | AttemptOutcome::NotRun => false,
         AttemptOutcome::Open if is_slow => false,
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -50,8 +50,8 @@
 
 pub use caller_try::CallerTry;
 pub use event::{
-    ExchangeFailure, GatewayEvent, ReplyVerdict, RequestHead, ServerLoad, ServerReply,
-    SourceFailure, SourceReply, StateWriteReply, ViewKind, ViewObject,
+    ExchangeFailure, GatewayEvent, InvalidReply, ReplyVerdict, RequestHead, ServerLoad,
+    ServerReply, SourceFailure, SourceReply, StateWriteReply, ViewKind, ViewObject,
 };
 pub use parameters::{
     BudgetParameters, ExchangeParameters, GatewayParameters, QuarantineParameters,
--- a/crates/thornbridge-core/src/gateway/telemetry.rs
+++ b/crates/thornbridge-core/src/gateway/telemetry.rs
@@ -2,7 +2,7 @@
 
 use super::action::RefusalReason;
 use super::caller_try::CallerTry;
-use super::event::ViewKind;
+use super::event::{InvalidReply, ViewKind};
 use super::rollouts::telemetry::RolloutChange;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -67,7 +67,7 @@
     /// Another instance has taken over the address.
     WrongInstance,
     /// The reply did not belong to the request or failed verification.
-    Invalid,
+    Invalid(InvalidReply),
     /// The connection broke.
     Broken,
 }
@@ -82,7 +82,7 @@
             Self::ServerFailure => "server_failure",
             Self::NotRun => "not_run",
             Self::WrongInstance => "wrong_instance",
-            Self::Invalid => "spoilt",
+            Self::Invalid(reason) => reason.as_str(),
             Self::Broken => "broken",
         }
     }
--- a/crates/thornbridge-core/src/gateway/tests/answers.rs
+++ b/crates/thornbridge-core/src/gateway/tests/answers.rs
@@ -1,7 +1,9 @@
 //! When requests are answered, and with what.
 
 use super::support::{Harness, SentAttempt, answer, gather, millis, route, service, verdict};
-use crate::gateway::{ExchangeFailure, GatewayAnswer, GatewayEvent, RefusalStatus, ReplyVerdict};
+use crate::gateway::{
+    ExchangeFailure, GatewayAnswer, GatewayEvent, InvalidReply, RefusalStatus, ReplyVerdict,
+};
 use thornbridge_config::routes::Repeatability::{AtMostOnce, Repeatable};
 
 const ONE: &[u8] = b"0000000000000001";
@@ -69,7 +71,10 @@
     let mut harness = gather_over_three_shards(0.9);
     let caller = harness.send_request("/x");
     let sent = harness.sent_for(caller);
-    harness.reply(sent[0].attempt, verdict(ReplyVerdict::Invalid));
+    harness.reply(
+        sent[0].attempt,
+        verdict(ReplyVerdict::Invalid(InvalidReply::OtherRequest)),
+    );
     assert_eq!(
         harness.refusal_status(caller),
         Some(RefusalStatus::MayHaveRun)
--- a/crates/thornbridge-core/src/gateway/tests/grants.rs
+++ b/crates/thornbridge-core/src/gateway/tests/grants.rs
@@ -9,7 +9,7 @@
 };
 use super::support::{Harness, answer, answer_all, millis, peer, verdict};
 use crate::driver_action::CallerId;
-use crate::gateway::{GatewayAnswer, GatewayEvent, RefusalStatus, ReplyVerdict};
+use crate::gateway::{GatewayAnswer, GatewayEvent, InvalidReply, RefusalStatus, ReplyVerdict};
 use assert_matches::assert_matches;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -252,7 +252,10 @@
     // The replacement owner may use the remaining attempt.
     harness.event(GatewayEvent::PeerLinkDown { address: owner });
     assert_eq!(harness.tasks[0].1.prior_attempts, 1);
-    harness.reply(sent[0].attempt, verdict(ReplyVerdict::Invalid));
+    harness.reply(
+        sent[0].attempt,
+        verdict(ReplyVerdict::Invalid(InvalidReply::OtherRequest)),
+    );
     harness.advance(millis(100));
     assert_eq!(harness.sent_for(caller).len(), 1);
 }
@@ -326,7 +329,10 @@
 fn failed_first_attempt_waits_for_grant() {
     let mut harness = node_with_peers(SMALL_CORE_SHARE);
     receive_task(&mut harness, first_task(&["shard-1", "shard-2"]));
-    harness.reply(harness.sent[0].attempt, verdict(ReplyVerdict::Invalid));
+    harness.reply(
+        harness.sent[0].attempt,
+        verdict(ReplyVerdict::Invalid(InvalidReply::OtherRequest)),
+    );
     assert_eq!(harness.sent.len(), 2);
     let early = &reports(&harness)[0];
     assert!(early.answered.is_empty() && early.failed.is_empty());
@@ -480,7 +486,10 @@
 fn failed_attempt_is_final_without_grant() {
     let mut harness = node_with_peers(SMALL_CORE_SHARE);
     receive_task(&mut harness, first_task(&["shard-1"]));
-    harness.reply(harness.sent[0].attempt, verdict(ReplyVerdict::Invalid));
+    harness.reply(
+        harness.sent[0].attempt,
+        verdict(ReplyVerdict::Invalid(InvalidReply::OtherRequest)),
+    );
     grant(&mut harness, 1);
     assert_eq!(harness.sent.len(), 1);
     let last = reports(&harness).pop().expect("a report");
--- a/crates/thornbridge-core/src/gateway/tests/slices.rs
+++ b/crates/thornbridge-core/src/gateway/tests/slices.rs
@@ -5,7 +5,9 @@
     report_and_request, report_of, reports, stops, task,
 };
 use super::support::{answer, answer_all, millis, peer, verdict};
-use crate::gateway::{ExchangeFailure, GatewayAnswer, GatewayEvent, RefusalStatus, ReplyVerdict};
+use crate::gateway::{
+    ExchangeFailure, GatewayAnswer, GatewayEvent, InvalidReply, RefusalStatus, ReplyVerdict,
+};
 use assert_matches::assert_matches;
 use std::time::Duration;
 use thornbridge_proto::peer::slice::{ShardFailure, SliceId, SliceMessage, SliceReport, SliceStop};
@@ -209,7 +211,10 @@
     let mut harness = node_with_peers(SMALL_CORE_SHARE);
     receive_task(&mut harness, task(&["shard-1"], 1));
     assert_eq!(harness.sent.len(), 1);
-    harness.reply(harness.sent[0].attempt, verdict(ReplyVerdict::Invalid));
+    harness.reply(
+        harness.sent[0].attempt,
+        verdict(ReplyVerdict::Invalid(InvalidReply::OtherRequest)),
+    );
     harness.advance(millis(800));
     assert_eq!(harness.sent.len(), 1);
     let reports = reports(&harness);
--- a/crates/thornbridge-core/src/gateway/tests/trial_outcomes.rs
+++ b/crates/thornbridge-core/src/gateway/tests/trial_outcomes.rs
@@ -3,7 +3,7 @@
 use super::support::{Harness, RECORD, answer, millis, verdict};
 use super::trial_support::{grant, report, trial};
 use crate::driver_action::CallerId;
-use crate::gateway::{ExchangeFailure, GatewayEvent, ReplyVerdict, ServerReply};
+use crate::gateway::{ExchangeFailure, GatewayEvent, InvalidReply, ReplyVerdict, ServerReply};
 use std::time::Duration;
 use thornbridge_proto::AttemptId;
 use thornbridge_proto::peer::rollout::Outcomes;
@@ -82,7 +82,13 @@
 
 #[test]
 fn invalid_reply_is_bad() {
-    assert_eq!(outcome_of(verdict(ReplyVerdict::Invalid), USUAL), BAD);
+    assert_eq!(
+        outcome_of(
+            verdict(ReplyVerdict::Invalid(InvalidReply::OtherRequest)),
+            USUAL
+        ),
+        BAD
+    );
 }
 
 #[test]
--- a/crates/thornbridge-core/src/gateway/tests/trials.rs
+++ b/crates/thornbridge-core/src/gateway/tests/trials.rs
@@ -10,7 +10,7 @@
 use crate::driver_action::CallerId;
 use crate::gateway::servers::VersionRoles;
 use crate::gateway::{
-    ExchangeFailure, GatewayAnswer, GatewayEvent, ReplyVerdict, ViewKind, ViewObject,
+    ExchangeFailure, GatewayAnswer, GatewayEvent, InvalidReply, ReplyVerdict, ViewKind, ViewObject,
 };
 use assert_matches::assert_matches;
 use thornbridge_proto::BackEndId;
@@ -336,7 +336,10 @@
     let caller = harness.send_request("/search/1");
     let first = harness.sent_for(caller).remove(0);
     assert_eq!(first.instance, "new-1");
-    harness.reply(first.attempt, verdict(ReplyVerdict::Invalid));
+    harness.reply(
+        first.attempt,
+        verdict(ReplyVerdict::Invalid(InvalidReply::OtherRequest)),
+    );
     let second = harness.sent_for(caller).remove(1);
     harness.reply(second.attempt, answer(RECORD));
     assert_matches!(
--- a/crates/thornbridge-node/src/back_ends/connection.rs
+++ b/crates/thornbridge-node/src/back_ends/connection.rs
@@ -83,7 +83,7 @@
     loop {
         let job = tokio::select! {
             biased;
-            () = &mut transport => return Ok(()),
+            _ = &mut transport => return Ok(()),
             job = jobs.recv() => job,
         };
         let Some(job) = job else {
--- a/crates/thornbridge-node/src/gateway/connection.rs
+++ b/crates/thornbridge-node/src/gateway/connection.rs
@@ -2,9 +2,10 @@
 
 use super::driver::GatewayInput;
 use super::headers::HeaderNames;
+use super::metrics::GatewayMetrics;
 use super::server_reply;
 use crate::sockets;
-use crate::transport::{Connection, Transport, drive};
+use crate::transport::{Connection, Transport, TransportLoss, drive};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -38,6 +39,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct ConnectionContext {
     pub(super) names: Arc<HeaderNames>,
+    pub(super) metrics: Arc<GatewayMetrics>,
     pub(super) inputs: mpsc::Sender<GatewayInput>,
 }
 
@@ -97,14 +99,19 @@
     loop {
         let job = tokio::select! {
             biased;
-            () = &mut transport => return JobsEnd::Lost,
+            loss = &mut transport => {
+                if loss == TransportLoss::SurplusBytes {
+                    context.metrics.record_surplus_bytes();
+                }
+                return JobsEnd::Lost;
+            }
             job = jobs.recv() => job,
         };
         let Some(job) = job else {
             return JobsEnd::Lost;
         };
         let attempt = job.attempt;
-        let running = exchange(&context.names, &mut sender, job);
+        let running = exchange(context, &mut sender, job);
         let (event, failed) = match drive(&mut transport, running).await {
             Ok(reply) => {
                 let reply = Box::new(reply);
@@ -125,7 +132,7 @@
 }
 
 async fn exchange(
-    names: &HeaderNames,
+    context: &ConnectionContext,
     sender: &mut SendRequest<Full<Bytes>>,
     job: Job,
 ) -> Result<ServerReply, ExchangeFailure> {
@@ -141,7 +148,10 @@
             });
         }
     };
-    server_reply::read(names, &job.request_id, response).await
+    if !response.headers().contains_key(&context.names.request_id) {
+        context.metrics.record_unidentified_answer();
+    }
+    server_reply::read(&context.names, &job.request_id, response).await
 }
 
 impl ConnectionContext {
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -399,6 +399,7 @@
         let (jobs, receiver) = mpsc::unbounded_channel();
         let context = ConnectionContext {
             names: Arc::clone(&self.names),
+            metrics: Arc::clone(&self.outputs.metrics),
             inputs: self.inputs.clone(),
         };
         let running = connection::run(connection, address, context, receiver);
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -66,6 +66,8 @@
     extra_attempts_denied: Counter,
     parts_held_back: Counter,
     missing_parts: Counter,
+    unidentified_answers: Counter,
+    surplus_bytes: Counter,
     slices: Family<SliceLabels, Counter>,
     served_slices: Family<SliceLabels, Counter>,
     changes: Family<ChangeLabels, Counter>,
@@ -104,6 +106,8 @@
             extra_attempts_denied: Counter::default(),
             parts_held_back: Counter::default(),
             missing_parts: Counter::default(),
+            unidentified_answers: Counter::default(),
+            surplus_bytes: Counter::default(),
             slices: Family::default(),
             served_slices: Family::default(),
             changes: Family::default(),
@@ -135,6 +139,11 @@
         registry.register("held_back", held_back, self.parts_held_back.clone());
         let missing = "Parts that answers left out";
         registry.register("missing_parts", missing, self.missing_parts.clone());
+        let unidentified = "Answers of servers without a request id";
+        let counter = self.unidentified_answers.clone();
+        registry.register("unidentified_answers", unidentified, counter);
+        let surplus = "Idle connections closed because a server sent bytes on them";
+        registry.register("surplus_bytes", surplus, self.surplus_bytes.clone());
         let slices = "Owners asked for slices of gathers, by how they stood when the gather ended";
         registry.register("slices", slices, self.slices.clone());
         let served = "Slices of other nodes' gathers, by how they ended here";
@@ -186,6 +195,16 @@
         }
     }
 
+    /// Counts a server's answer that carries no request id.
+    pub(super) fn record_unidentified_answer(&self) {
+        self.unidentified_answers.inc();
+    }
+
+    /// Counts an idle connection on which a server sent bytes.
+    pub(super) fn record_surplus_bytes(&self) {
+        self.surplus_bytes.inc();
+    }
+
     fn count_request(&self, summary: &RequestSummary) {
         let labels = RequestLabels {
             route: summary.route.clone(),
--- a/crates/thornbridge-node/src/gateway/server_reply.rs
+++ b/crates/thornbridge-node/src/gateway/server_reply.rs
@@ -7,7 +7,9 @@
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode, Version};
 use std::time::Duration;
-use thornbridge_core::gateway::{ExchangeFailure, ReplyVerdict, ServerLoad, ServerReply};
+use thornbridge_core::gateway::{
+    ExchangeFailure, InvalidReply, ReplyVerdict, ServerLoad, ServerReply,
+};
 
 #[cfg(test)]
 mod tests;
@@ -30,7 +32,9 @@
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
     let delimited = parts.version == Version::HTTP_11 && has_framing;
     let verdict = classify(names, request_id, parts.status, &headers);
-    let reusable = delimited && !has_connection_close(&headers) && verdict != ReplyVerdict::Invalid;
+    let reusable = delimited
+        && !has_connection_close(&headers)
+        && !matches!(verdict, ReplyVerdict::Invalid(_));
     let keep_alive = keep_alive_seconds(&headers).map(Duration::from_secs);
     let load = parse_load(names, &headers);
     let signature = signature_value(names, &headers);
@@ -57,8 +61,11 @@
     let id_differs = headers
         .get(&names.request_id)
         .is_some_and(|echoed| echoed != request_id);
-    if id_differs || headers.contains_key(CONTENT_ENCODING) {
-        return ReplyVerdict::Invalid;
+    if id_differs {
+        return ReplyVerdict::Invalid(InvalidReply::OtherRequest);
+    }
+    if headers.contains_key(CONTENT_ENCODING) {
+        return ReplyVerdict::Invalid(InvalidReply::Encoded);
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
         return ReplyVerdict::WrongInstance;
@@ -67,7 +74,7 @@
         return ReplyVerdict::NotRun;
     }
     if !headers.contains_key(&names.signature) {
-        return ReplyVerdict::Invalid;
+        return ReplyVerdict::Invalid(InvalidReply::Unsigned);
     }
     ReplyVerdict::Answer
 }
--- a/crates/thornbridge-node/src/transport.rs
+++ b/crates/thornbridge-node/src/transport.rs
@@ -4,6 +4,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use std::error::Error;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::Poll;
@@ -17,26 +18,46 @@
     /// Open.
     Open(Pin<Box<Connection>>),
     /// Lost.
-    Lost,
+    Lost(TransportLoss),
 }
 
-impl Future for Transport {
-    type Output = ();
+/// How a transport was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum TransportLoss {
+    /// The peer closed or broke the connection.
+    Closed,
+    /// The peer sent bytes that are no answer, or that nothing had asked for.
+    SurplusBytes,
+}
 
-    fn poll(mut self: Pin<&mut Self>, context: &mut std::task::Context<'_>) -> Poll<()> {
-        let Self::Open(connection) = &mut *self else {
-            return Poll::Ready(());
-        };
-        match connection.as_mut().poll(context) {
-            Poll::Pending => Poll::Pending,
-            Poll::Ready(_) => {
-                *self = Self::Lost;
-                Poll::Ready(())
+impl TransportLoss {
+    fn of(ended: &hyper::Result<()>) -> Self {
+        match ended {
+            // Errors of the socket have a source.
+            Err(error) if !error.is_incomplete_message() && error.source().is_none() => {
+                Self::SurplusBytes
             }
+            Err(_) | Ok(()) => Self::Closed,
         }
     }
 }
 
+impl Future for Transport {
+    type Output = TransportLoss;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut std::task::Context<'_>) -> Poll<TransportLoss> {
+        let loss = match &mut *self {
+            Self::Lost(loss) => *loss,
+            Self::Open(connection) => match connection.as_mut().poll(context) {
+                Poll::Pending => return Poll::Pending,
+                Poll::Ready(ended) => TransportLoss::of(&ended),
+            },
+        };
+        *self = Self::Lost(loss);
+        Poll::Ready(loss)
+    }
+}
+
 /// Runs an exchange and the connection under it in one task, which saves the wakes between two.
 pub(crate) async fn drive<F: Future>(transport: &mut Transport, exchange: F) -> F::Output {
     tokio::pin!(exchange);
--- a/crates/thornbridge-rehearsal/src/gateway/world/serving.rs
+++ b/crates/thornbridge-rehearsal/src/gateway/world/serving.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use thornbridge_core::Timestamp;
 use thornbridge_core::gateway::{
-    ExchangeFailure, GatewayEvent, ReplyVerdict, ServerReply, SourceFailure, SourceRead,
-    SourceReply, ViewKind,
+    ExchangeFailure, GatewayEvent, InvalidReply, ReplyVerdict, ServerReply, SourceFailure,
+    SourceRead, SourceReply, ViewKind,
 };
 
 /// Time between heartbeats of servers.
@@ -69,7 +69,7 @@
             return;
         }
         if self.random.random_bool(self.spoilt_share) {
-            let reply = plain_reply(ReplyVerdict::Invalid, 200);
+            let reply = plain_reply(ReplyVerdict::Invalid(InvalidReply::OtherRequest), 200);
             self.reply(sent, reply, end);
             return;
         }
@@ -295,7 +295,7 @@
         body: Bytes::new(),
         verdict,
         load: None,
-        reusable: verdict != ReplyVerdict::Invalid,
+        reusable: !matches!(verdict, ReplyVerdict::Invalid(_)),
         keep_alive: None,
     }
 }
