A reply without a request id answers only the first request of its connection

What callers saw: a success that belonged to another request, or to another request's part of a gather; requests that may run once ran twice.

Cause: a server that answers twice sends its second answer when the next request is on its way. The echoed id was compared only where there was one, so a reply without it was taken for the reply to whatever was asked last. The class: an identity check that passes where there is nothing to compare.

Ruled out: second answers with the id (never accepted, at any time); second answers on idle connections (hyper closes them); the same id twice on one connection, since an attempt never returns to a server (read); reports of slices, which are compared by owner and id, from a random start (read); the product's own protocol, whose replies must name the request (read).

Change: a reply without an id is accepted only where the connection carried no request before, and its connection is closed. So a server that sends no ids gets a connection for each request; servers that send them are served as before.

--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -63,6 +63,8 @@
 pub enum InvalidReply {
     /// It carries the id of another request.
     OtherRequest,
+    /// It carries no request id, and the connection may owe an answer to an earlier request.
+    NoRequestId,
     /// Its body is encoded.
     Encoded,
     /// It carries no signature.
@@ -74,6 +76,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::OtherRequest => "other_request",
+            Self::NoRequestId => "no_request_id",
             Self::Encoded => "encoded",
             Self::Unsigned => "unsigned",
         }
--- a/crates/thornbridge-node/src/gateway/connection.rs
+++ b/crates/thornbridge-node/src/gateway/connection.rs
@@ -3,7 +3,7 @@
 use super::driver::GatewayInput;
 use super::headers::HeaderNames;
 use super::metrics::GatewayMetrics;
-use super::server_reply;
+use super::server_reply::{self, AwaitedRequest};
 use crate::sockets;
 use crate::transport::{Connection, Transport, TransportLoss, drive};
 use bytes::Bytes;
@@ -96,6 +96,7 @@
     mut transport: Transport,
     jobs: &mut mpsc::UnboundedReceiver<Job>,
 ) -> JobsEnd {
+    let mut is_first = true;
     loop {
         let job = tokio::select! {
             biased;
@@ -111,7 +112,7 @@
             return JobsEnd::Lost;
         };
         let attempt = job.attempt;
-        let running = exchange(context, &mut sender, job);
+        let running = exchange(context, &mut sender, job, is_first);
         let (event, failed) = match drive(&mut transport, running).await {
             Ok(reply) => {
                 let reply = Box::new(reply);
@@ -122,6 +123,7 @@
         if context.send(event).await.is_err() || failed {
             return JobsEnd::AttemptFailed;
         }
+        is_first = false;
     }
 }
 
@@ -135,6 +137,7 @@
     context: &ConnectionContext,
     sender: &mut SendRequest<Full<Bytes>>,
     job: Job,
+    is_first: bool,
 ) -> Result<ServerReply, ExchangeFailure> {
     sender.ready().await.map_err(|_| ExchangeFailure::NotSent)?;
     let response = match sender.try_send_request(job.request).await {
@@ -151,7 +154,11 @@
     if !response.headers().contains_key(&context.names.request_id) {
         context.metrics.record_unidentified_answer();
     }
-    server_reply::read(&context.names, &job.request_id, response).await
+    let awaited = AwaitedRequest {
+        id: &job.request_id,
+        is_first,
+    };
+    server_reply::read(&context.names, awaited, response).await
 }
 
 impl ConnectionContext {
--- a/crates/thornbridge-node/src/gateway/server_reply.rs
+++ b/crates/thornbridge-node/src/gateway/server_reply.rs
@@ -17,10 +17,30 @@
 /// Maximum size of a server's response body.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
-/// Reads the response to the request with id `request_id`, including its body.
+/// Request whose response is read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AwaitedRequest<'a> {
+    /// Value of the request id header.
+    pub(super) id: &'a HeaderValue,
+    /// Whether the connection carried no request before.
+    pub(super) is_first: bool,
+}
+
+/// How a response names the request that it answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReplyIdentity {
+    /// By the id of the awaited request.
+    Awaited,
+    /// By the id of another one.
+    Other,
+    /// Not at all.
+    Unnamed,
+}
+
+/// Reads the response to a request, including its body.
 pub(super) async fn read(
     names: &HeaderNames,
-    request_id: &HeaderValue,
+    awaited: AwaitedRequest<'_>,
     response: Response<Incoming>,
 ) -> Result<ServerReply, ExchangeFailure> {
     let (parts, body) = response.into_parts();
@@ -31,10 +51,17 @@
     let has_framing =
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
     let delimited = parts.version == Version::HTTP_11 && has_framing;
-    let verdict = classify(names, request_id, parts.status, &headers);
-    let reusable = delimited
-        && !has_connection_close(&headers)
-        && !matches!(verdict, ReplyVerdict::Invalid(_));
+    let identity = identity_of(names, awaited.id, &headers);
+    let verdict = match identity {
+        ReplyIdentity::Other => ReplyVerdict::Invalid(InvalidReply::OtherRequest),
+        ReplyIdentity::Unnamed if !awaited.is_first => {
+            ReplyVerdict::Invalid(InvalidReply::NoRequestId)
+        }
+        ReplyIdentity::Awaited | ReplyIdentity::Unnamed => classify(names, parts.status, &headers),
+    };
+    // After a response without an id, a second one could not be told from the next response.
+    let is_last = identity == ReplyIdentity::Unnamed || matches!(verdict, ReplyVerdict::Invalid(_));
+    let reusable = delimited && !has_connection_close(&headers) && !is_last;
     let keep_alive = keep_alive_seconds(&headers).map(Duration::from_secs);
     let load = parse_load(names, &headers);
     let signature = signature_value(names, &headers);
@@ -51,19 +78,19 @@
     })
 }
 
-fn classify(
-    names: &HeaderNames,
-    request_id: &HeaderValue,
-    status: StatusCode,
-    headers: &HeaderMap,
-) -> ReplyVerdict {
-    // A surplus response to an earlier request may arrive in place of the expected one.
-    let id_differs = headers
-        .get(&names.request_id)
-        .is_some_and(|echoed| echoed != request_id);
-    if id_differs {
-        return ReplyVerdict::Invalid(InvalidReply::OtherRequest);
+fn identity_of(names: &HeaderNames, awaited: &HeaderValue, headers: &HeaderMap) -> ReplyIdentity {
+    let mut ids = headers.get_all(&names.request_id).iter().peekable();
+    if ids.peek().is_none() {
+        return ReplyIdentity::Unnamed;
+    }
+    match ids.all(|id| id == awaited) {
+        true => ReplyIdentity::Awaited,
+        false => ReplyIdentity::Other,
     }
+}
+
+/// Classifies a response to the awaited request.
+fn classify(names: &HeaderNames, status: StatusCode, headers: &HeaderMap) -> ReplyVerdict {
     if headers.contains_key(CONTENT_ENCODING) {
         return ReplyVerdict::Invalid(InvalidReply::Encoded);
     }
