Only a success answers a shard's part

Cause: a signed reply counted as a part unless its status was 500 or above. A 404 of a shard's server is forwarded where it is the answer of a single server, and no part where records are gathered; one bound served both.

Change: a shard's attempt is answered by a 2xx only; any other status is a failure of the server, so that another one of the shard is asked. Requests to single servers are forwarded as before.

--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -17,6 +17,8 @@
 
 /// Lowest status that counts as a server failure.
 const FIRST_SERVER_ERROR_STATUS: u16 = 500;
+/// Statuses of a success.
+const SUCCESS_STATUSES: std::ops::Range<u16> = 200..300;
 
 /// An in-flight attempt.
 #[derive(Clone, Copy, Debug)]
@@ -24,6 +26,8 @@
     /// Caller to serve; `None` once the request was answered or dropped.
     pub(super) caller: Option<CallerId>,
     pub(super) part: usize,
+    /// Whether the part is a shard's, which only a success answers.
+    pub(super) is_shard: bool,
     pub(super) route: RouteKey,
     pub(super) target: AttemptTarget,
     pub(super) sent_at: Timestamp,
@@ -48,7 +52,7 @@
         let Some(record) = self.remove_attempt(context, attempt) else {
             return;
         };
-        let outcome = outcome_of(&reply);
+        let outcome = outcome_of(&reply, record.is_shard);
         if let (AttemptOutcome::Answered, Some(fingerprint)) = (outcome, record.suspect) {
             context.quarantine.record_answer(context.now, fingerprint);
         }
@@ -341,14 +345,16 @@
     }
 }
 
-fn outcome_of(reply: &ServerReply) -> AttemptOutcome {
+fn outcome_of(reply: &ServerReply, is_shard: bool) -> AttemptOutcome {
+    let is_failure = match is_shard {
+        true => !SUCCESS_STATUSES.contains(&reply.status),
+        false => reply.status >= FIRST_SERVER_ERROR_STATUS,
+    };
     match reply.verdict {
         ReplyVerdict::NotRun => AttemptOutcome::NotRun,
         ReplyVerdict::WrongInstance => AttemptOutcome::WrongInstance,
         ReplyVerdict::Invalid(reason) => AttemptOutcome::Invalid(reason),
-        ReplyVerdict::Answer if reply.status >= FIRST_SERVER_ERROR_STATUS => {
-            AttemptOutcome::ServerFailure
-        }
+        ReplyVerdict::Answer if is_failure => AttemptOutcome::ServerFailure,
         ReplyVerdict::Answer => AttemptOutcome::Answered,
     }
 }
--- a/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/dispatching.rs
@@ -184,6 +184,7 @@
         let record = Attempt {
             caller: Some(request.caller),
             part: index,
+            is_shard: request.is_gather(),
             route: request.route.key,
             target,
             sent_at: context.now,
--- a/crates/thornbridge-core/src/gateway/tests/answers.rs
+++ b/crates/thornbridge-core/src/gateway/tests/answers.rs
@@ -3,6 +3,7 @@
 use super::support::{Harness, SentAttempt, answer, gather, millis, route, service, verdict};
 use crate::gateway::{
     ExchangeFailure, GatewayAnswer, GatewayEvent, InvalidReply, RefusalStatus, ReplyVerdict,
+    ServerReply,
 };
 use thornbridge_config::routes::Repeatability::{AtMostOnce, Repeatable};
 
@@ -81,6 +82,33 @@
     );
 }
 
+#[test]
+fn failure_of_any_status_is_no_part_of_a_gather() {
+    for status in [304, 404, 429, 500] {
+        let target = gather(&["a", "b"], 0.5);
+        let servers = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+        let mut harness = Harness::serving(vec![route("/", target, Repeatable)], &servers);
+        let caller = harness.send_request("/x");
+        let sent = harness.sent_for(caller);
+        let failure = ServerReply {
+            status,
+            ..answer(THREE)
+        };
+        harness.reply(sent[0].attempt, failure);
+        harness.reply(sent[1].attempt, answer(ONE));
+        let retries = harness.sent_for(caller).split_off(2);
+        assert_eq!(retries.len(), 1, "{status}");
+        harness.reply(retries[0].attempt, answer(TWO));
+        let GatewayAnswer::Gathered {
+            missing, records, ..
+        } = &harness.answers[&caller]
+        else {
+            panic!("{status}: {:?}", harness.answers[&caller]);
+        };
+        assert_eq!((*missing, &records[..]), (0, &[TWO, ONE].concat()[..]));
+    }
+}
+
 #[test]
 fn request_is_refused_at_time_limit() {
     let mut harness = gather_over_three_shards(0.9);
