Memory for responses of servers is bounded as a whole

Cause: a body was limited to 16 MiB, the sum of all bodies by nothing, and hyper discards any number of interim heads. The class: a limit on each of many things whose number has no limit.

Change: bodies above 16 KiB are counted, by the memory of their buffers, against a quarter of the memory that the settings name. When that is full the largest body is given up: one without end outgrows the others, so a body smaller than the limit divided by their number stays whole. What precedes a body may have 512 KiB, one head 128 KiB. Such an attempt is `overlong` in log and metrics; it may have run, and it is no sign of a crash.

Ruled out: a smaller limit for each body, which would cut honest answers; letting large bodies wait for memory, which bodies without end would hold.

Measured: bytes_without_end_are_given_up_before_the_time_limit failed before (504 for 502) and passes.

--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -111,6 +111,8 @@
     NotSent,
     /// The request may have run.
     MayHaveRun,
+    /// The response exceeded a limit of this node; the request may have run.
+    Overlong,
 }
 
 /// Kind of view read from the store.
--- a/crates/thornbridge-core/src/gateway/exchange/attempts.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/attempts.rs
@@ -86,14 +86,17 @@
         let outcome = match failure {
             ExchangeFailure::NotSent => AttemptOutcome::NotRun,
             ExchangeFailure::MayHaveRun => AttemptOutcome::Broken,
+            ExchangeFailure::Overlong => AttemptOutcome::Overlong,
         };
         match failure {
             ExchangeFailure::NotSent => restore_permit(context, &record),
-            ExchangeFailure::MayHaveRun => record_outcome(context, &record, outcome),
+            ExchangeFailure::MayHaveRun | ExchangeFailure::Overlong => {
+                record_outcome(context, &record, outcome);
+                let cost = context.servers.parameters.failure_cost;
+                self.add_failure_cost(context, server, cost, outcome.as_str());
+            }
         }
         if failure == ExchangeFailure::MayHaveRun {
-            let cost = context.servers.parameters.failure_cost;
-            self.add_failure_cost(context, server, cost, "broken");
             self.report_crash(context, &record);
         }
         self.attempt_ended(context, attempt, &record, outcome, None);
@@ -340,7 +343,10 @@
                     "failed",
                 );
             }
-            AttemptOutcome::Waiting | AttemptOutcome::Open | AttemptOutcome::Broken => {}
+            AttemptOutcome::Waiting
+            | AttemptOutcome::Open
+            | AttemptOutcome::Broken
+            | AttemptOutcome::Overlong => {}
         }
     }
 }
--- a/crates/thornbridge-core/src/gateway/exchange/trials.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/trials.rs
@@ -184,6 +184,7 @@
         AttemptOutcome::ServerFailure
         | AttemptOutcome::Invalid(_)
         | AttemptOutcome::Broken
+        | AttemptOutcome::Overlong
         | AttemptOutcome::NotRun => false,
         AttemptOutcome::Open if is_slow => false,
         AttemptOutcome::Open | AttemptOutcome::WrongInstance | AttemptOutcome::Waiting => return,
--- a/crates/thornbridge-core/src/gateway/telemetry.rs
+++ b/crates/thornbridge-core/src/gateway/telemetry.rs
@@ -70,6 +70,8 @@
     Invalid(InvalidReply),
     /// The connection broke.
     Broken,
+    /// The reply exceeded a limit of this node.
+    Overlong,
 }
 
 impl AttemptOutcome {
@@ -84,6 +86,7 @@
             Self::WrongInstance => "wrong_instance",
             Self::Invalid(reason) => reason.as_str(),
             Self::Broken => "broken",
+            Self::Overlong => "overlong",
         }
     }
 }
--- a/crates/thornbridge-node/src/back_ends/connection.rs
+++ b/crates/thornbridge-node/src/back_ends/connection.rs
@@ -106,7 +106,7 @@
 async fn open(
     address: SocketAddr,
     write_timeout: Duration,
-) -> Option<(SendRequest<Full<Bytes>>, Connection)> {
+) -> Option<(SendRequest<Full<Bytes>>, Connection<TcpStream>)> {
     let stream = TcpStream::connect(address).await.ok()?;
     sockets::prepare(&stream, write_timeout);
     http1::handshake(TokioIo::new(stream)).await.ok()
--- a/crates/thornbridge-node/src/gateway/connection.rs
+++ b/crates/thornbridge-node/src/gateway/connection.rs
@@ -1,11 +1,13 @@
 //! Connection to a server. Runs one attempt at a time until the connection is lost or closed.
 
+use super::body_memory::BodyMemory;
 use super::driver::GatewayInput;
+use super::head_limit::{HeadLimitedStream, HeadProgress, MAX_READ_BUFFER_BYTES};
 use super::headers::HeaderNames;
 use super::metrics::GatewayMetrics;
 use super::server_reply::{self, AwaitedRequest};
 use crate::sockets;
-use crate::transport::{Connection, Transport, TransportLoss, drive};
+use crate::transport::{Transport, TransportLoss, drive};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
@@ -40,6 +42,7 @@
 pub(super) struct ConnectionContext {
     pub(super) names: Arc<HeaderNames>,
     pub(super) metrics: Arc<GatewayMetrics>,
+    pub(super) body_memory: Arc<BodyMemory>,
     pub(super) inputs: mpsc::Sender<GatewayInput>,
 }
 
@@ -52,17 +55,16 @@
 ) {
     let started = Instant::now();
     let connecting = tokio::time::timeout(CONNECT_TIMEOUT, connect(address));
-    if let Ok(Some((sender, transport))) = connecting.await {
+    if let Ok(Some(opened)) = connecting.await {
         let connect_time = started.elapsed();
-        let opened = GatewayEvent::ConnectionOpened {
+        let event = GatewayEvent::ConnectionOpened {
             connection,
             connect_time,
         };
-        if context.send(opened).await.is_err() {
+        if context.send(event).await.is_err() {
             return;
         }
-        let transport = Transport::Open(Box::pin(transport));
-        if run_jobs(&context, sender, transport, &mut jobs).await == JobsEnd::AttemptFailed {
+        if run_jobs(&context, opened, &mut jobs).await == JobsEnd::AttemptFailed {
             // `GatewayEvent::Failed` implies the loss of the connection.
             return;
         }
@@ -92,10 +94,14 @@
 
 async fn run_jobs(
     context: &ConnectionContext,
-    mut sender: SendRequest<Full<Bytes>>,
-    mut transport: Transport,
+    opened: OpenConnection,
     jobs: &mut mpsc::UnboundedReceiver<Job>,
 ) -> JobsEnd {
+    let OpenConnection {
+        mut sender,
+        mut transport,
+        head,
+    } = opened;
     let mut is_first = true;
     loop {
         let job = tokio::select! {
@@ -112,7 +118,8 @@
             return JobsEnd::Lost;
         };
         let attempt = job.attempt;
-        let running = exchange(context, &mut sender, job, is_first);
+        head.await_head();
+        let running = exchange(context, &mut sender, &head, job, is_first);
         let (event, failed) = match drive(&mut transport, running).await {
             Ok(reply) => {
                 let reply = Box::new(reply);
@@ -127,15 +134,34 @@
     }
 }
 
-async fn connect(address: SocketAddr) -> Option<(SendRequest<Full<Bytes>>, Connection)> {
+/// Open connection, and the progress of the response head on it.
+struct OpenConnection {
+    sender: SendRequest<Full<Bytes>>,
+    transport: Transport<HeadLimitedStream>,
+    head: Arc<HeadProgress>,
+}
+
+async fn connect(address: SocketAddr) -> Option<OpenConnection> {
     let stream = TcpStream::connect(address).await.ok()?;
     sockets::prepare(&stream, TCP_USER_TIMEOUT);
-    http1::handshake(TokioIo::new(stream)).await.ok()
+    let head = Arc::new(HeadProgress::default());
+    let stream = HeadLimitedStream::new(stream, Arc::clone(&head));
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_READ_BUFFER_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await
+        .ok()?;
+    Some(OpenConnection {
+        sender,
+        transport: Transport::Open(Box::pin(connection)),
+        head,
+    })
 }
 
 async fn exchange(
     context: &ConnectionContext,
     sender: &mut SendRequest<Full<Bytes>>,
+    head: &HeadProgress,
     job: Job,
     is_first: bool,
 ) -> Result<ServerReply, ExchangeFailure> {
@@ -145,12 +171,15 @@
         Err(mut error) => {
             // hyper returns the request only if no byte of it was written.
             let unsent = error.take_message().is_some();
-            return Err(match unsent {
-                true => ExchangeFailure::NotSent,
-                false => ExchangeFailure::MayHaveRun,
+            let too_large = head.is_exceeded() || error.error().is_parse_too_large();
+            return Err(match (unsent, too_large) {
+                (true, _) => ExchangeFailure::NotSent,
+                (false, true) => ExchangeFailure::Overlong,
+                (false, false) => ExchangeFailure::MayHaveRun,
             });
         }
     };
+    head.head_received();
     if !response.headers().contains_key(&context.names.request_id) {
         context.metrics.record_unidentified_answer();
     }
@@ -158,7 +187,7 @@
         id: &job.request_id,
         is_first,
     };
-    server_reply::read(&context.names, awaited, response).await
+    server_reply::read(&context.names, awaited, response, &context.body_memory).await
 }
 
 impl ConnectionContext {
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -1,6 +1,7 @@
 //! Driver task of a gateway: owns the core, feeds it events and runs its actions.
 
 use super::answer_delay::{AnswerDelays, DecidedAnswer};
+use super::body_memory::BodyMemory;
 use super::connection::{self, ConnectionContext, Job};
 use super::headers::{HeaderNames, number_value};
 use super::log_lines;
@@ -87,6 +88,7 @@
     pub(super) peers: Peers,
     pub(super) inputs: mpsc::Sender<GatewayInput>,
     pub(super) outputs: DriverOutputs,
+    body_memory: Arc<BodyMemory>,
     pending: HashMap<CallerId, PendingRequest>,
     connections: HashMap<ConnectionId, ServerConnection>,
     connection_of_attempt: HashMap<AttemptId, ConnectionId>,
@@ -109,6 +111,7 @@
         peers: Peers,
         inputs: mpsc::Sender<GatewayInput>,
         outputs: DriverOutputs,
+        body_memory: Arc<BodyMemory>,
     ) -> Self {
         Self {
             gateway,
@@ -118,6 +121,7 @@
             peers,
             inputs,
             outputs,
+            body_memory,
             pending: HashMap::new(),
             connections: HashMap::new(),
             connection_of_attempt: HashMap::new(),
@@ -400,6 +404,7 @@
         let context = ConnectionContext {
             names: Arc::clone(&self.names),
             metrics: Arc::clone(&self.outputs.metrics),
+            body_memory: Arc::clone(&self.body_memory),
             inputs: self.inputs.clone(),
         };
         let running = connection::run(connection, address, context, receiver);
--- a/crates/thornbridge-node/src/gateway/mod.rs
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -7,9 +7,11 @@
 
 mod activity;
 mod answer_delay;
+mod body_memory;
 mod callers;
 mod connection;
 mod driver;
+mod head_limit;
 mod headers;
 mod log_lines;
 mod metrics;
@@ -17,6 +19,7 @@
 mod pending;
 mod process;
 mod relaying;
+mod reply_body;
 mod server_reply;
 mod settings;
 mod store;
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -1,6 +1,7 @@
 //! Gateway process: listeners, signals, start, reload and planned stop.
 
 use super::answer_delay::AnswerDelays;
+use super::body_memory::BodyMemory;
 use super::callers::{self, CallerContext};
 use super::driver::{DriverInputs, DriverOutputs, GatewayDriver, GatewayInput};
 use super::headers::HeaderNames;
@@ -257,6 +258,7 @@
         });
         let metrics = Arc::new(GatewayMetrics::new());
         let gauges = Arc::new(Mutex::new(GaugeValues::default()));
+        let body_memory = Arc::new(BodyMemory::new(settings.body_memory_bytes));
         let gateway = new_gateway(settings, endpoint);
         let outputs = DriverOutputs {
             ready,
@@ -273,6 +275,7 @@
             peers.clone(),
             inputs.clone(),
             outputs,
+            body_memory,
         );
         let channels = DriverInputs {
             inputs: inputs_receiver,
--- a/crates/thornbridge-node/src/gateway/server_reply.rs
+++ b/crates/thornbridge-node/src/gateway/server_reply.rs
@@ -1,11 +1,13 @@
 //! Conversion of a server's HTTP response to a [`ServerReply`].
 
+use super::body_memory::BodyMemory;
 use super::headers::{HeaderNames, has_connection_close, keep_alive_seconds, strip_hop_by_hop};
-use crate::back_ends::reply::collect;
+use super::reply_body;
 use bytes::Bytes;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_ENCODING, CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode, Version};
+use std::sync::Arc;
 use std::time::Duration;
 use thornbridge_core::gateway::{
     ExchangeFailure, InvalidReply, ReplyVerdict, ServerLoad, ServerReply,
@@ -14,9 +16,6 @@
 #[cfg(test)]
 mod tests;
 
-/// Maximum size of a server's response body.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-
 /// Request whose response is read.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct AwaitedRequest<'a> {
@@ -42,11 +41,10 @@
     names: &HeaderNames,
     awaited: AwaitedRequest<'_>,
     response: Response<Incoming>,
+    memory: &Arc<BodyMemory>,
 ) -> Result<ServerReply, ExchangeFailure> {
     let (parts, body) = response.into_parts();
-    let body = collect(body, MAX_BODY_BYTES)
-        .await
-        .map_err(|_| ExchangeFailure::MayHaveRun)?;
+    let body = reply_body::read(body, memory).await?;
     let mut headers = parts.headers;
     let has_framing =
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
--- a/crates/thornbridge-node/src/transport.rs
+++ b/crates/thornbridge-node/src/transport.rs
@@ -8,15 +8,20 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::task::Poll;
-use tokio::net::TcpStream;
+use tokio::io::{AsyncRead, AsyncWrite};
 
 /// hyper's connection.
-pub(crate) type Connection = http1::Connection<TokioIo<TcpStream>, Full<Bytes>>;
+pub(crate) type Connection<S> = http1::Connection<TokioIo<S>, Full<Bytes>>;
+
+/// Byte stream under a connection.
+pub(crate) trait Stream: AsyncRead + AsyncWrite + Unpin {}
+
+impl<S: AsyncRead + AsyncWrite + Unpin> Stream for S {}
 
 /// hyper's half of a connection: moves bytes while it is polled; ready when it is lost.
-pub(crate) enum Transport {
+pub(crate) enum Transport<S: Stream> {
     /// Open.
-    Open(Pin<Box<Connection>>),
+    Open(Pin<Box<Connection<S>>>),
     /// Lost.
     Lost(TransportLoss),
 }
@@ -42,7 +47,7 @@
     }
 }
 
-impl Future for Transport {
+impl<S: Stream> Future for Transport<S> {
     type Output = TransportLoss;
 
     fn poll(mut self: Pin<&mut Self>, context: &mut std::task::Context<'_>) -> Poll<TransportLoss> {
@@ -59,7 +64,10 @@
 }
 
 /// Runs an exchange and the connection under it in one task, which saves the wakes between two.
-pub(crate) async fn drive<F: Future>(transport: &mut Transport, exchange: F) -> F::Output {
+pub(crate) async fn drive<S: Stream, F: Future>(
+    transport: &mut Transport<S>,
+    exchange: F,
+) -> F::Output {
     tokio::pin!(exchange);
     std::future::poll_fn(|context| {
         // First what it has to send, then the bytes either way, then what has come by them: a
