--- a/crates/thornbridge-node/src/gateway/pages.rs
+++ b/crates/thornbridge-node/src/gateway/pages.rs
@@ -1,5 +1,6 @@
 //! HTTP endpoint that serves one text page: readiness or metrics.
 
+use super::metrics::{GatewayMetrics, GaugeValues};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::server::conn::http1;
@@ -7,9 +8,10 @@
 use hyper::{Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::convert::Infallible;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 
 /// Delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -45,3 +47,19 @@
         });
     }
 }
+
+/// Page that tells whether callers are wanted.
+pub(super) fn readiness(ready: watch::Receiver<bool>) -> Page {
+    Arc::new(move || match *ready.borrow() {
+        true => (StatusCode::OK, "ready\n".to_owned()),
+        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
+    })
+}
+
+/// Page with all metrics.
+pub(super) fn metrics(metrics: Arc<GatewayMetrics>, gauges: Arc<Mutex<GaugeValues>>) -> Page {
+    Arc::new(move || {
+        let gauges = *gauges.lock().unwrap_or_else(PoisonError::into_inner);
+        (StatusCode::OK, metrics.encode(&gauges))
+    })
+}
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -6,13 +6,12 @@
 use super::driver::{DriverInputs, DriverOutputs, GatewayDriver, GatewayInput};
 use super::headers::HeaderNames;
 use super::metrics::{GatewayMetrics, GaugeValues};
-use super::pages::{self, Page};
+use super::pages;
 use super::settings::{GatewaySettings, ReadSettings};
 use super::store::{StoreClient, StoreProtocol};
 use super::store_calls::StoreCalls;
 use crate::input;
 use crate::peers::{PeerParameters, Peers};
-use hyper::StatusCode;
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -290,10 +289,10 @@
         tokio::spawn(peers.clone().listen(listeners.peers));
         tokio::spawn(pages::serve(
             listeners.readiness,
-            readiness_page(ready_receiver),
+            pages::readiness(ready_receiver),
         ));
         if let Some(listener) = listeners.metrics {
-            let page = metrics_page(metrics, Arc::clone(&gauges));
+            let page = pages::metrics(metrics, Arc::clone(&gauges));
             tokio::spawn(pages::serve(listener, page));
         }
         Self {
@@ -385,17 +384,3 @@
         ..PeerParameters::default()
     }
 }
-
-fn readiness_page(ready: watch::Receiver<bool>) -> Page {
-    Arc::new(move || match *ready.borrow() {
-        true => (StatusCode::OK, "ready\n".to_owned()),
-        false => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".to_owned()),
-    })
-}
-
-fn metrics_page(metrics: Arc<GatewayMetrics>, gauges: Arc<Mutex<GaugeValues>>) -> Page {
-    Arc::new(move || {
-        let gauges = *gauges.lock().unwrap_or_else(PoisonError::into_inner);
-        (StatusCode::OK, metrics.encode(&gauges))
-    })
-}
