Reread: one observed stream, one joined body, a decision back in the product

- The stream that limits heads repeated the one that observes callers.
Both are ObservedStream now, with an observer each.
- Joining the pieces of a body stood in two places: JoinedBody.
- A response's id is looked up once, not twice.

--- a/crates/thornbridge-node/src/back_ends/reply.rs
+++ b/crates/thornbridge-node/src/back_ends/reply.rs
@@ -1,6 +1,7 @@
 //! From an HTTP response to a typed reply, or to the reason why it is none.
 
-use bytes::{Bytes, BytesMut};
+use crate::joined_body::JoinedBody;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONTENT_TYPE, HeaderMap};
@@ -39,35 +40,23 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(AttemptFailure::MalformedReply);
     }
-    let mut first = Bytes::new();
-    let mut joined = BytesMut::new();
+    let mut joined = JoinedBody::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| failure_of(&error))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let length = first.len().max(joined.len()) + data.len();
-        if length > limit {
+        if joined.len() + data.len() > limit {
             return Err(AttemptFailure::MalformedReply);
         }
-        if first.is_empty() && joined.is_empty() {
-            first = data;
-        } else {
-            if joined.is_empty() {
-                joined.extend_from_slice(&first);
-            }
-            joined.extend_from_slice(&data);
-        }
+        joined.push(data);
         // Known from the announced length. To wait for hyper's end of the stream would let it read
         // again while this body still occupies its buffer, and cost it a new one each time.
         if body.is_end_stream() {
             break;
         }
     }
-    if joined.is_empty() {
-        return Ok(first);
-    }
-    Ok(joined.freeze())
+    Ok(joined.finish())
 }
 
 /// A body that ends too early or is not HTTP is malformed; anything else broke the connection.
--- a/crates/thornbridge-node/src/gateway/activity.rs
+++ b/crates/thornbridge-node/src/gateway/activity.rs
@@ -3,13 +3,10 @@
 //! hyper's own timeouts are fixed per connection; tracking the activity here lets a periodic check
 //! apply idle and head timeouts that change while the connection is open.
 
-use std::pin::Pin;
+use super::observed_stream::ReadObserver;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::net::TcpStream;
 
 const IDLE: u8 = 0;
 const RECEIVING_HEAD: u8 = 1;
@@ -56,12 +53,6 @@
         }
     }
 
-    fn bytes_received(&self) {
-        if self.state.load(Ordering::Relaxed) == IDLE {
-            self.set_state(RECEIVING_HEAD);
-        }
-    }
-
     fn set_state(&self, state: u8) {
         let now = self.epoch.elapsed().as_millis() as u64;
         self.state.store(state, Ordering::Relaxed);
@@ -69,65 +60,10 @@
     }
 }
 
-/// A caller's TCP stream that records received bytes in an [`Activity`].
-pub(super) struct ObservedStream {
-    stream: TcpStream,
-    activity: Arc<Activity>,
-}
-
-impl ObservedStream {
-    pub(super) fn new(stream: TcpStream, activity: Arc<Activity>) -> Self {
-        Self { stream, activity }
-    }
-}
-
-impl AsyncRead for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.activity.bytes_received();
+impl ReadObserver for Activity {
+    fn received(&self, _bytes: usize) {
+        if self.state.load(Ordering::Relaxed) == IDLE {
+            self.set_state(RECEIVING_HEAD);
         }
-        polled
-    }
-}
-
-impl AsyncWrite for ObservedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<std::io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffers: &[std::io::IoSlice<'_>],
-    ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 }
--- a/crates/thornbridge-node/src/gateway/body_memory.rs
+++ b/crates/thornbridge-node/src/gateway/body_memory.rs
@@ -11,6 +11,10 @@
 #[cfg(test)]
 mod tests;
 
+/// Parts of a process's memory, of which bodies may hold one. The others hold answers until callers have
+/// read them, buffers of connections, and what the gateway knows.
+const PROCESS_PARTS: usize = 4;
+
 /// Memory for bodies that are being received.
 #[derive(Debug)]
 pub(super) struct BodyMemory {
@@ -40,8 +44,13 @@
 }
 
 impl BodyMemory {
+    /// Memory of a process that may hold `process_bytes` in all.
+    pub(super) fn of_process(process_bytes: usize) -> Self {
+        Self::new(process_bytes / PROCESS_PARTS)
+    }
+
     /// Memory for at most `limit_bytes`.
-    pub(super) fn new(limit_bytes: usize) -> Self {
+    fn new(limit_bytes: usize) -> Self {
         Self {
             limit_bytes,
             state: Mutex::default(),
--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -1,9 +1,10 @@
 //! HTTP server for callers. Requests and answers are buffered whole.
 
-use super::activity::{Activity, ObservedStream};
+use super::activity::Activity;
 use super::answer_delay::AnswerDelays;
 use super::driver::{CallerRequest, GatewayInput};
 use super::headers::{HeaderNames, number_value, strip_hop_by_hop};
+use super::observed_stream::ObservedStream;
 use crate::sockets;
 use crate::unanswered::{OutcomeUnknown, Unanswered};
 use bytes::Bytes;
--- a/crates/thornbridge-node/src/gateway/connection.rs
+++ b/crates/thornbridge-node/src/gateway/connection.rs
@@ -2,10 +2,11 @@
 
 use super::body_memory::BodyMemory;
 use super::driver::GatewayInput;
-use super::head_limit::{HeadLimitedStream, HeadProgress, MAX_READ_BUFFER_BYTES};
+use super::head_limit::{HeadProgress, MAX_READ_BUFFER_BYTES};
 use super::headers::HeaderNames;
 use super::metrics::GatewayMetrics;
-use super::server_reply::{self, AwaitedRequest};
+use super::observed_stream::ObservedStream;
+use super::server_reply::{self, ReplyIdentity};
 use crate::sockets;
 use crate::transport::{Transport, TransportLoss, drive};
 use bytes::Bytes;
@@ -137,7 +138,7 @@
 /// Open connection, and the progress of the response head on it.
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
-    transport: Transport<HeadLimitedStream>,
+    transport: Transport<ObservedStream<HeadProgress>>,
     head: Arc<HeadProgress>,
 }
 
@@ -145,7 +146,7 @@
     let stream = TcpStream::connect(address).await.ok()?;
     sockets::prepare(&stream, TCP_USER_TIMEOUT);
     let head = Arc::new(HeadProgress::default());
-    let stream = HeadLimitedStream::new(stream, Arc::clone(&head));
+    let stream = ObservedStream::new(stream, Arc::clone(&head));
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_READ_BUFFER_BYTES)
         .handshake(TokioIo::new(stream))
@@ -180,14 +181,12 @@
         }
     };
     head.head_received();
-    if !response.headers().contains_key(&context.names.request_id) {
+    let names = &context.names;
+    let identity = ReplyIdentity::of(names, &job.request_id, response.headers());
+    if identity == ReplyIdentity::Unnamed {
         context.metrics.record_unidentified_answer();
     }
-    let awaited = AwaitedRequest {
-        id: &job.request_id,
-        is_first,
-    };
-    server_reply::read(&context.names, awaited, response, &context.body_memory).await
+    server_reply::read(names, identity, is_first, response, &context.body_memory).await
 }
 
 impl ConnectionContext {
--- a/crates/thornbridge-node/src/gateway/mod.rs
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod headers;
 mod log_lines;
 mod metrics;
+mod observed_stream;
 mod pages;
 mod pending;
 mod process;
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -257,7 +257,7 @@
         });
         let metrics = Arc::new(GatewayMetrics::new());
         let gauges = Arc::new(Mutex::new(GaugeValues::default()));
-        let body_memory = Arc::new(BodyMemory::new(settings.body_memory_bytes));
+        let body_memory = Arc::new(BodyMemory::of_process(settings.memory_bytes));
         let gateway = new_gateway(settings, endpoint);
         let outputs = DriverOutputs {
             ready,
--- a/crates/thornbridge-node/src/gateway/reply_body.rs
+++ b/crates/thornbridge-node/src/gateway/reply_body.rs
@@ -1,7 +1,8 @@
 //! Reception of response bodies, within the limits of one body and of all together.
 
 use super::body_memory::{BodyMemory, BodyReservation};
-use bytes::{Bytes, BytesMut};
+use crate::joined_body::JoinedBody;
+use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Frame, Incoming};
 use std::sync::Arc;
@@ -12,11 +13,10 @@
 /// Size up to which a body is not counted in the memory of all bodies.
 const UNCOUNTED_BYTES: usize = 16 * 1024;
 
-/// Body that is being received.
+/// Body that is being received, and its share of the memory.
+#[derive(Default)]
 struct PartialBody {
-    /// First piece, not copied while it is the only one.
-    first: Bytes,
-    joined: BytesMut,
+    joined: JoinedBody,
     reservation: Option<BodyReservation>,
 }
 
@@ -28,13 +28,13 @@
     if body.size_hint().lower() > MAX_BODY_BYTES as u64 {
         return Err(ExchangeFailure::Overlong);
     }
-    let mut partial = PartialBody::new();
+    let mut partial = PartialBody::default();
     while let Some(frame) = partial.next_frame(&mut body).await? {
         let Ok(data) = frame.into_data() else {
             continue;
         };
         partial.push(data, memory);
-        if partial.len() > MAX_BODY_BYTES {
+        if partial.joined.len() > MAX_BODY_BYTES {
             return Err(ExchangeFailure::Overlong);
         }
         // Known from the announced length. To wait for hyper's end of the stream would let it read
@@ -43,27 +43,10 @@
             break;
         }
     }
-    Ok(partial.finish())
+    Ok(partial.joined.finish())
 }
 
 impl PartialBody {
-    fn new() -> Self {
-        Self {
-            first: Bytes::new(),
-            joined: BytesMut::new(),
-            reservation: None,
-        }
-    }
-
-    /// Memory that the body holds: buffers grow ahead of what they hold.
-    fn held_bytes(&self) -> usize {
-        self.first.len() + self.joined.capacity()
-    }
-
-    fn len(&self) -> usize {
-        self.first.len() + self.joined.len()
-    }
-
     /// Waits for the next frame; fails if the body is given up meanwhile.
     async fn next_frame(
         &self,
@@ -81,29 +64,17 @@
     }
 
     fn push(&mut self, data: Bytes, memory: &Arc<BodyMemory>) {
-        let held_before = self.held_bytes();
-        if self.len() == 0 {
-            self.first = data;
-        } else {
-            self.joined
-                .extend_from_slice(&std::mem::take(&mut self.first));
-            self.joined.extend_from_slice(&data);
-        }
+        let held_before = self.joined.held_bytes();
+        self.joined.push(data);
+        let held = self.joined.held_bytes();
         match &self.reservation {
-            Some(reservation) => reservation.grow(self.held_bytes() - held_before),
-            None if self.len() > UNCOUNTED_BYTES => {
+            Some(reservation) => reservation.grow(held - held_before),
+            None if self.joined.len() > UNCOUNTED_BYTES => {
                 let reservation = memory.reserve();
-                reservation.grow(self.held_bytes());
+                reservation.grow(held);
                 self.reservation = Some(reservation);
             }
             None => {}
         }
     }
-
-    fn finish(self) -> Bytes {
-        match self.joined.is_empty() {
-            true => self.first,
-            false => self.joined.freeze(),
-        }
-    }
 }
--- a/crates/thornbridge-node/src/gateway/server_reply.rs
+++ b/crates/thornbridge-node/src/gateway/server_reply.rs
@@ -16,18 +16,9 @@
 #[cfg(test)]
 mod tests;
 
-/// Request whose response is read.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct AwaitedRequest<'a> {
-    /// Value of the request id header.
-    pub(super) id: &'a HeaderValue,
-    /// Whether the connection carried no request before.
-    pub(super) is_first: bool,
-}
-
 /// How a response names the request that it answers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReplyIdentity {
+pub(super) enum ReplyIdentity {
     /// By the id of the awaited request.
     Awaited,
     /// By the id of another one.
@@ -36,10 +27,12 @@
     Unnamed,
 }
 
-/// Reads the response to a request, including its body.
+/// Reads the response to a request, including its body. `is_first`: the connection carried no request
+/// before.
 pub(super) async fn read(
     names: &HeaderNames,
-    awaited: AwaitedRequest<'_>,
+    identity: ReplyIdentity,
+    is_first: bool,
     response: Response<Incoming>,
     memory: &Arc<BodyMemory>,
 ) -> Result<ServerReply, ExchangeFailure> {
@@ -49,12 +42,9 @@
     let has_framing =
         headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
     let delimited = parts.version == Version::HTTP_11 && has_framing;
-    let identity = identity_of(names, awaited.id, &headers);
     let verdict = match identity {
         ReplyIdentity::Other => ReplyVerdict::Invalid(InvalidReply::OtherRequest),
-        ReplyIdentity::Unnamed if !awaited.is_first => {
-            ReplyVerdict::Invalid(InvalidReply::NoRequestId)
-        }
+        ReplyIdentity::Unnamed if !is_first => ReplyVerdict::Invalid(InvalidReply::NoRequestId),
         ReplyIdentity::Awaited | ReplyIdentity::Unnamed => classify(names, parts.status, &headers),
     };
     // After a response without an id, a second one could not be told from the next response.
@@ -76,14 +66,17 @@
     })
 }
 
-fn identity_of(names: &HeaderNames, awaited: &HeaderValue, headers: &HeaderMap) -> ReplyIdentity {
-    let mut ids = headers.get_all(&names.request_id).iter().peekable();
-    if ids.peek().is_none() {
-        return ReplyIdentity::Unnamed;
-    }
-    match ids.all(|id| id == awaited) {
-        true => ReplyIdentity::Awaited,
-        false => ReplyIdentity::Other,
+impl ReplyIdentity {
+    /// Identity of a response where one to the request with the id `awaited` is due.
+    pub(super) fn of(names: &HeaderNames, awaited: &HeaderValue, headers: &HeaderMap) -> Self {
+        let mut ids = headers.get_all(&names.request_id).iter().peekable();
+        if ids.peek().is_none() {
+            return Self::Unnamed;
+        }
+        match ids.all(|id| id == awaited) {
+            true => Self::Awaited,
+            false => Self::Other,
+        }
     }
 }
 
--- a/crates/thornbridge-node/src/gateway/settings.rs
+++ b/crates/thornbridge-node/src/gateway/settings.rs
@@ -31,8 +31,8 @@
     pub stop_grace: Duration,
     /// Maximum number of caller connections.
     pub max_caller_connections: usize,
-    /// Memory for bodies of servers' responses that are being received, in bytes.
-    pub body_memory_bytes: usize,
+    /// Memory that the process may hold, in bytes.
+    pub memory_bytes: usize,
 }
 
 /// Reads the settings again, for a reload. The error lists all problems found.
--- a/crates/thornbridge-node/src/lib.rs
+++ b/crates/thornbridge-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod error;
 pub mod gateway;
 mod input;
+mod joined_body;
 mod logging;
 mod metrics;
 mod operators;
