--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -272,7 +272,7 @@
                     return
                 writer.write(reply)
                 await writer.drain()
-                if self.state != "ready":
+                if b"\r\nconnection: close\r\n" in reply:
                     return
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -287,8 +287,6 @@
                           {"x-thornbridge-instance-id": self.name})
         attempt = headers.get(ATTEMPT, "")
         echo = {ATTEMPT: attempt}
-        if self.state != "ready":
-            echo["connection"] = "close"
         arrival = {"at": self.record.now(), "id": attempt, "target": target, "run": False,
                    "answered": False, "bytes": len(body)}
         self.arrivals.append(arrival)
@@ -313,6 +311,8 @@
             self.inside -= 1
         arrival["answered"] = True
         self.record.say(f"server {self.name}: {attempt} answered")
+        if self.state != "ready":
+            echo["connection"] = "close"
         stamp = f"{self.name}.{attempt}"
         return answer(200, echo | {STAMP: stamp}, self.body(target))
 
