--- a/review/6/case.py
+++ b/review/6/case.py
@@ -50,6 +50,8 @@
         for server in servers:
             store.put("servers", f"asset-{server.name}", server.spec() | {"service": "inventory"})
     await asyncio.sleep(1)
+    # The final fault strikes right after a configuration was acknowledged.
+    store.put("config", "main", s.configuration(8, routes, ["cards"]))
     struck = record.now()
     record.say("final fault: both gateways are killed", show=True)
     for one in (a, b):
