What a planned stop still holds when it ends, in the log

The stop moves to a module of its own and logs both of its ends; requests in reception are counted. No change of behaviour.

--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -56,6 +56,8 @@
     /// Cancelled at the end of a planned stop: stops accepting and closes idle connections.
     pub(super) shutdown: tokio_util::sync::CancellationToken,
     pub(super) open_connections: AtomicUsize,
+    /// Requests whose head was read and that the driver does not know yet.
+    pub(super) requests_in_reception: AtomicUsize,
     pub(super) max_connections: usize,
     pub(super) next_caller_id: AtomicU64,
     pub(super) answer_delays: Arc<AnswerDelays>,
@@ -197,6 +199,7 @@
     // No request smuggling: hyper drops a Content-Length that accompanies a Transfer-Encoding and
     // closes the connection after the request (RFC 9112, section 6.3).
     let has_length = parts.headers.contains_key(CONTENT_LENGTH);
+    let reception = Reception::of(&context.requests_in_reception);
     let limit = context.limits.borrow().body_bytes;
     let body = read_body(body, limit).await?;
     let head = request_head(&context.names, &parts, &body, first_on_connection);
@@ -217,6 +220,7 @@
         .send(input)
         .await
         .map_err(|_| Unanswered::NotAccepted)?;
+    drop(reception);
     let mut guard = DisconnectGuard {
         caller,
         disconnected: &context.disconnected,
@@ -245,6 +249,22 @@
     }
 }
 
+/// Counts a request while it is received.
+struct Reception<'a>(&'a AtomicUsize);
+
+impl<'a> Reception<'a> {
+    fn of(requests: &'a AtomicUsize) -> Self {
+        requests.fetch_add(1, Ordering::Relaxed);
+        Self(requests)
+    }
+}
+
+impl Drop for Reception<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RejectedRequest> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
--- a/crates/thornbridge-node/src/gateway/callers/tests.rs
+++ b/crates/thornbridge-node/src/gateway/callers/tests.rs
@@ -39,6 +39,7 @@
         closing: AtomicBool::new(false),
         shutdown: tokio_util::sync::CancellationToken::new(),
         open_connections: AtomicUsize::new(0),
+        requests_in_reception: AtomicUsize::new(0),
         max_connections: 8,
         next_caller_id: AtomicU64::new(1),
         answer_delays: Arc::default(),
--- a/crates/thornbridge-node/src/gateway/mod.rs
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod observed_stream;
 mod pages;
 mod pending;
+mod planned_stop;
 mod process;
 mod relaying;
 mod reply_body;
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -1,4 +1,4 @@
-//! Gateway process: listeners, signals, start, reload and planned stop.
+//! Gateway process: listeners, signals, start and reload.
 
 use super::answer_delay::AnswerDelays;
 use super::body_memory::BodyMemory;
@@ -14,8 +14,8 @@
 use crate::peers::{PeerParameters, Peers};
 use snafu::{ResultExt, Snafu};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use thornbridge_config::routes::CallerLimits;
 use thornbridge_core::gateway::{Gateway, GatewayParameters, GatewaySetup};
@@ -32,17 +32,8 @@
 const PEER_QUEUE_CAPACITY: usize = 1_024;
 /// Maximum number of connections waiting to be accepted, for each listener.
 const LISTEN_BACKLOG: u32 = 1_024;
-/// Minimum time that a stopping node still serves, so that load balancers notice that it is no
-/// longer ready.
-const MIN_STOP_TIME: Duration = Duration::from_millis(3_000);
-/// Part of the stop grace that is reserved for flushing answers.
-const STOP_RESERVE: Duration = Duration::from_millis(700);
-/// Time for callers to receive the last bytes of their answers.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(400);
 /// Interval between reads of the settings file.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
-/// Interval between checks for requests in flight during a stop.
-const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Error while starting a gateway.
 #[derive(Debug, Snafu)]
@@ -212,10 +203,10 @@
 /// Gateway running in this process.
 #[derive(Debug)]
 pub struct RunningGateway {
-    inputs: mpsc::Sender<GatewayInput>,
-    caller_context: Arc<CallerContext>,
-    gauges: Arc<Mutex<GaugeValues>>,
-    peers: Peers,
+    pub(super) inputs: mpsc::Sender<GatewayInput>,
+    pub(super) caller_context: Arc<CallerContext>,
+    pub(super) gauges: Arc<Mutex<GaugeValues>>,
+    pub(super) peers: Peers,
 }
 
 impl RunningGateway {
@@ -251,6 +242,7 @@
             closing: AtomicBool::new(false),
             shutdown: CancellationToken::new(),
             open_connections: AtomicUsize::new(0),
+            requests_in_reception: AtomicUsize::new(0),
             max_connections: settings.max_caller_connections,
             next_caller_id: AtomicU64::new(1),
             answer_delays: Arc::clone(&answer_delays),
@@ -330,38 +322,6 @@
             .send(GatewayInput::Reconfigure(parameters))
             .await;
     }
-
-    /// Performs a planned stop: announces it, waits for requests in flight, closes all connections.
-    pub async fn stop(self, grace: Duration) {
-        let started = tokio::time::Instant::now();
-        let latest = started + grace.saturating_sub(STOP_RESERVE);
-        let earliest = (started + MIN_STOP_TIME).min(latest);
-        log::info!(grace_ms = grace.as_millis() as u64; "node stops");
-        let _ = self.inputs.send(GatewayInput::Stop).await;
-        self.caller_context.closing.store(true, Ordering::Relaxed);
-        loop {
-            let now = tokio::time::Instant::now();
-            let drained = now >= earliest && self.in_flight() == 0;
-            if drained || now >= latest {
-                break;
-            }
-            tokio::time::sleep(STOP_POLL_INTERVAL).await;
-        }
-        self.caller_context.shutdown.cancel();
-        let flushed = async {
-            while self.caller_context.open_connections.load(Ordering::Relaxed) > 0 {
-                tokio::time::sleep(STOP_POLL_INTERVAL / 10).await;
-            }
-        };
-        // Connections that are still open after the timeout are dropped.
-        let _ = tokio::time::timeout(FLUSH_TIMEOUT, flushed).await;
-        self.peers.abort();
-    }
-
-    fn in_flight(&self) -> usize {
-        let gauges = self.gauges.lock().unwrap_or_else(PoisonError::into_inner);
-        gauges.in_flight
-    }
 }
 
 fn new_gateway(settings: GatewaySettings, endpoint: PeerEndpoint) -> Gateway {
