A planned stop waits for each connection that has a request

Cause: the stop ended when the core had no request in flight. A request is known to the core once its body is in and the driver has taken it, so one that was being read did not count, nor one that was read between the last look and the close; both had the time for flushing, 0.4 s, to be answered. Class: the end of work is read off one stage of it.

Change: after the time for which it serves on, the node closes its listener and idle connections, and ends when callers have no connection left. A connection with a request stays open until its answer is written, whatever stage the request is in. Nothing is taken on connections that rest, so nothing comes late on them either. Requests that have arrived are read before their connection is closed.

`planned_stops::stop_waits_for_request_in_reception` failed before (the stop had ended with the body still to come).

--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -109,8 +109,9 @@
     let mut timeout_check = tokio::time::interval(TIMEOUT_CHECK_INTERVAL);
     loop {
         // Connection errors are ignored: a broken pipe, malformed HTTP, or a driver that stopped
-        // during the request.
+        // during the request. A request that has arrived is read before the connection is closed.
         tokio::select! {
+            biased;
             _ = &mut connection => return,
             () = context.shutdown.cancelled() => break,
             _ = timeout_check.tick() => {
--- a/crates/thornbridge-node/src/gateway/mod.rs
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 mod store_calls;
 
 pub use headers::HeaderNames;
+pub use planned_stop::StopSchedule;
 pub use process::{GatewayError, GatewayListeners, RunningGateway, run_gateway};
 pub use settings::{GatewaySettings, ReadSettings};
 pub use store::{StateWrite, StoreClient, StoreProtocol};
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -7,6 +7,7 @@
 use super::headers::HeaderNames;
 use super::metrics::{GatewayMetrics, GaugeValues};
 use super::pages;
+use super::planned_stop::StopSchedule;
 use super::settings::{GatewaySettings, ReadSettings};
 use super::store::{StoreClient, StoreProtocol};
 use super::store_calls::StoreCalls;
@@ -94,7 +95,7 @@
             ProcessEvent::PollSettings => running.reload(&read_settings, &mut active).await,
         }
     }
-    running.stop(active.stop_grace).await;
+    running.stop(StopSchedule::within(active.stop_grace)).await;
     log::info!("node ends");
     Ok(())
 }
