A planned stop answers every request before the process ends

Cause: the end of the grace was known to the process alone. The core, which knows what became of each request, was told that the node leaves, but not until when; connections were dropped with what they waited for. Class: a deadline that does not reach the part that could keep it.

Change: the core is told how long it has. When that is over, each request gets what is known: the parts that are in, if they are enough; a failure that a server answered; else 503 with Retry-After 0 if no server may have run it, and 502 if one may have. A request whose body is still being received is rejected as not run.

Ruled out: to refuse requests that wait for a server as soon as the stop begins. Most are served within the grace.

--- a/crates/thornbridge-core/src/gateway/action.rs
+++ b/crates/thornbridge-core/src/gateway/action.rs
@@ -57,6 +57,8 @@
     TimedOut,
     /// The request is quarantined because servers crash when they run it.
     CrashesServers,
+    /// This node stops before the request could be served.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -74,6 +76,7 @@
             Self::TooFewShards => "too_few_shards",
             Self::TimedOut => "timed_out",
             Self::CrashesServers => "crashes_servers",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -389,8 +389,13 @@
     },
     /// The time returned by [`Gateway::next_timeout`](super::Gateway::next_timeout) was reached.
     TimerDue,
-    /// A graceful shutdown was requested.
-    StopRequested,
+    /// A planned stop was requested. The process ends soon after `answer_within`.
+    StopRequested {
+        /// Time for which requests are taken as before.
+        serve_for: Duration,
+        /// Time by which all requests are answered.
+        answer_within: Duration,
+    },
     /// The operator changed the settings.
     Reconfigured {
         /// New parameters; membership parameters are ignored.
--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -106,6 +106,31 @@
     (now >= request.deadline).then(|| refusal(parameters, request, RefusalReason::TimedOut))
 }
 
+/// Answer of a node that stops: the parts that are in, a failure that a server answered, or a refusal.
+pub(super) fn answer_of_stopping_node(request: &Request) -> GatewayAnswer {
+    let progress = request.progress();
+    if let ResolvedTarget::Gather(gather) = &request.route.target {
+        if progress.answered >= gather.min_parts {
+            return merged_answer(request, gather, progress);
+        }
+    } else if let Some(reply) = request
+        .parts
+        .iter()
+        .find_map(|part| part.failed_reply.as_ref())
+    {
+        return forwarded_answer(reply);
+    }
+    let (status, retry_after) = match request.may_have_run() {
+        true => (RefusalStatus::MayHaveRun, None),
+        false => (RefusalStatus::NotRun, Some(Duration::ZERO)),
+    };
+    GatewayAnswer::Refused {
+        reason: RefusalReason::Stopping,
+        status,
+        retry_after,
+    }
+}
+
 fn forwarded_answer(reply: &ServerReply) -> GatewayAnswer {
     GatewayAnswer::Forwarded {
         status: reply.status,
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -279,6 +279,21 @@
         self.log_outcome(context, &request, outcome, retry_after);
     }
 
+    /// Answers all requests of callers with what is known, because this node stops.
+    pub(in crate::gateway) fn answer_all(&mut self, context: &mut Context<'_>) {
+        let requests = self.requests.values();
+        let own = requests.filter(|request| matches!(request.origin, Origin::Caller));
+        let callers: Vec<CallerId> = own.map(|request| request.caller).collect();
+        for caller in callers {
+            let Some(request) = self.requests.remove(&caller) else {
+                continue;
+            };
+            self.schedule.remove(&(request.check_at, caller));
+            let answer = answering::answer_of_stopping_node(&request);
+            self.finish(context, request, answer);
+        }
+    }
+
     /// Removes a request and schedules its attempts for cancellation at `cancel_at`.
     fn remove_request(
         &mut self,
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -7,6 +7,7 @@
 use super::exchange::{Context, Exchanges};
 use super::parameters::GatewayParameters;
 use super::pending::PendingRequest;
+use super::planned_stop::PlannedStop;
 use super::routes::RouteTable;
 use super::telemetry::{GatewayChange, RequestSummary, ViewOrigin};
 use super::views::gossip::send_digest;
@@ -85,7 +86,10 @@
                 self.with_membership(|membership, context| membership.link_down(context, address));
             }
             GatewayEvent::TimerDue => self.timer_due(),
-            GatewayEvent::StopRequested => self.stop_requested(),
+            GatewayEvent::StopRequested {
+                serve_for,
+                answer_within,
+            } => self.stop_requested(serve_for, answer_within),
             GatewayEvent::Reconfigured { parameters } => self.reconfigure(*parameters),
             GatewayEvent::Paused { .. } => {
                 self.messages_stale_until = self.now + STALE_AFTER_PAUSE;
@@ -112,6 +116,9 @@
             self.next_rollout_timeout(),
             Some(self.next_maintenance),
             self.pending.next_timeout(),
+            self.planned_stop
+                .as_ref()
+                .and_then(PlannedStop::next_timeout),
             staged,
         ];
         timeouts.into_iter().flatten().min()
@@ -181,6 +188,7 @@
         let (exchanges, mut context) = self.exchanges();
         exchanges.end_connection_probation(&mut context);
         exchanges.timer_due(&mut context);
+        self.end_stop_if_due();
     }
 
     /// Opens links to prospective slice owners by sending each a view digest.
@@ -254,18 +262,6 @@
         self.actions.push_back(GatewayAction::Changed(change));
     }
 
-    fn stop_requested(&mut self) {
-        if self.stopping {
-            return;
-        }
-        self.stopping = true;
-        self.actions
-            .push_back(GatewayAction::Changed(GatewayChange::Lifecycle {
-                state: "stopping",
-            }));
-        self.with_membership(Membership::leave);
-    }
-
     /// Activates a staged configuration, routes pending requests and updates readiness.
     fn finish_event(&mut self) {
         self.apply_changed_roles();
@@ -288,7 +284,7 @@
     /// Whether the views and orders of roll-outs are loaded and every shard with servers has a
     /// connection, or the warm-up time is over.
     fn is_ready_to_serve(&self) -> bool {
-        if self.stopping || !self.has_views() {
+        if self.planned_stop.is_some() || !self.has_views() {
             return false;
         }
         if self.ready || self.now.since_epoch() >= WARM_UP_TIMEOUT {
@@ -355,7 +351,7 @@
         exchanges.start(&mut context, caller, head, route, arrived);
     }
 
-    fn refuse(&mut self, caller: CallerId, head: &RequestHead, refusal: Refusal) {
+    pub(super) fn refuse(&mut self, caller: CallerId, head: &RequestHead, refusal: Refusal) {
         let Refusal {
             reason,
             status,
@@ -385,13 +381,13 @@
 }
 
 /// Refusal of a request that was not routed.
-struct Refusal {
-    reason: RefusalReason,
-    status: RefusalStatus,
-    retry_after: Option<Duration>,
-    caller_try: CallerTry,
+pub(super) struct Refusal {
+    pub(super) reason: RefusalReason,
+    pub(super) status: RefusalStatus,
+    pub(super) retry_after: Option<Duration>,
+    pub(super) caller_try: CallerTry,
     /// Time that the request waited in this node.
-    waited: Duration,
+    pub(super) waited: Duration,
 }
 
 impl Refusal {
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! | `quarantine` | requests that crash the servers that run them |
 //! | `rollouts` | moving a service to another version of its servers |
 //! | `pending` | requests received before the first configuration |
+//! | `planned_stop` | what becomes of requests when the node stops |
 //! | `budget` | cluster-wide budget of extra attempts |
 //! | [`crate::membership`] | nodes that share the budgets |
 
@@ -29,6 +30,7 @@
 mod parameters;
 mod peer_messages;
 mod pending;
+mod planned_stop;
 mod quarantine;
 mod rollout_updates;
 mod rollouts;
@@ -72,6 +74,7 @@
 use budget::ExtraAttemptBudget;
 use exchange::Exchanges;
 use pending::PendingRequests;
+use planned_stop::PlannedStop;
 use quarantine::Quarantine;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -147,7 +150,7 @@
     messages_stale_until: Timestamp,
     pending: PendingRequests,
     ready: bool,
-    stopping: bool,
+    planned_stop: Option<PlannedStop>,
     next_maintenance: Timestamp,
     freshness: Freshness,
     /// Whether this node reads the store itself instead of following peers.
@@ -222,7 +225,7 @@
             joins_via_seeds,
             parameters,
             ready: false,
-            stopping: false,
+            planned_stop: None,
             next_maintenance: Timestamp::ZERO,
         }
     }
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -16,6 +16,7 @@
 mod hedges;
 mod homes;
 mod pending;
+mod planned_stops;
 mod quarantine;
 mod queues;
 mod registries;
--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -28,6 +28,7 @@
 use thornbridge_proto::fingerprint::{Fingerprint, FingerprintSource};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio_util::sync::CancellationToken;
 
 #[cfg(test)]
 mod tests;
@@ -53,8 +54,10 @@
     pub(super) limits: watch::Receiver<CallerLimits>,
     /// Set when a planned stop begins: each connection closes after its next answer.
     pub(super) closing: AtomicBool,
-    /// Cancelled at the end of a planned stop: stops accepting and closes idle connections.
-    pub(super) shutdown: tokio_util::sync::CancellationToken,
+    /// Cancelled during a planned stop: stops accepting and closes idle connections.
+    pub(super) shutdown: CancellationToken,
+    /// Cancelled when a planned stop takes no request any more.
+    pub(super) reception_end: CancellationToken,
     pub(super) open_connections: AtomicUsize,
     /// Requests whose head was read and that the driver does not know yet.
     pub(super) requests_in_reception: AtomicUsize,
@@ -202,7 +205,11 @@
     let has_length = parts.headers.contains_key(CONTENT_LENGTH);
     let reception = Reception::of(&context.requests_in_reception);
     let limit = context.limits.borrow().body_bytes;
-    let body = read_body(body, limit).await?;
+    let body = tokio::select! {
+        biased;
+        body = read_body(body, limit) => body?,
+        () = context.reception_end.cancelled() => return Err(RejectedRequest::Stopping.into()),
+    };
     let head = request_head(&context.names, &parts, &body, first_on_connection);
     strip_hop_by_hop(&mut parts.headers);
     let (reply, answer) = oneshot::channel();
--- a/crates/thornbridge-node/src/gateway/callers/tests.rs
+++ b/crates/thornbridge-node/src/gateway/callers/tests.rs
@@ -11,6 +11,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
 
 fn names() -> HeaderNames {
     HeaderNames {
@@ -37,7 +38,8 @@
         disconnected,
         limits,
         closing: AtomicBool::new(false),
-        shutdown: tokio_util::sync::CancellationToken::new(),
+        shutdown: CancellationToken::new(),
+        reception_end: CancellationToken::new(),
         open_connections: AtomicUsize::new(0),
         requests_in_reception: AtomicUsize::new(0),
         max_connections: 8,
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -7,6 +7,7 @@
 use super::log_lines;
 use super::metrics::{GatewayMetrics, GaugeValues};
 use super::pending::PendingRequest;
+use super::planned_stop::StopSchedule;
 use super::store::StateWrite;
 use super::store_calls::StoreCalls;
 use crate::clock::{Clock, PauseDetector};
@@ -60,7 +61,7 @@
 pub(super) enum GatewayInput {
     Event(Box<GatewayEvent>),
     Request(Box<CallerRequest>),
-    Stop,
+    Stop(StopSchedule),
     Reconfigure(Box<GatewayParameters>),
 }
 
@@ -188,7 +189,10 @@
                 self.handle(*event);
             }
             GatewayInput::Request(request) => self.handle_request(*request),
-            GatewayInput::Stop => self.handle(GatewayEvent::StopRequested),
+            GatewayInput::Stop(schedule) => self.handle(GatewayEvent::StopRequested {
+                serve_for: schedule.serve_for,
+                answer_within: schedule.answer_within,
+            }),
             GatewayInput::Reconfigure(parameters) => {
                 self.handle(GatewayEvent::Reconfigured { parameters });
             }
--- a/crates/thornbridge-node/src/gateway/planned_stop.rs
+++ b/crates/thornbridge-node/src/gateway/planned_stop.rs
@@ -2,7 +2,8 @@
 //!
 //! The node serves on while load balancers notice that it is not ready. Then it closes its listener
 //! and idle connections, and waits for the others, each of which has a request that is received,
-//! handled or answered.
+//! handled or answered. What has no answer when the stop is to end gets one from the core, or is
+//! rejected if it is still being received.
 
 use super::driver::GatewayInput;
 use super::process::RunningGateway;
@@ -49,7 +50,7 @@
         let started = Instant::now();
         let answered_by = started + schedule.answer_within;
         log::info!(answer_within_ms = schedule.answer_within.as_millis() as u64; "node stops");
-        let _ = self.inputs.send(GatewayInput::Stop).await;
+        let _ = self.inputs.send(GatewayInput::Stop(schedule)).await;
         self.caller_context.closing.store(true, Ordering::Relaxed);
         tokio::time::sleep(schedule.serve_for).await;
         self.log_progress("closing", started);
@@ -57,6 +58,7 @@
         let drained = tokio::time::timeout_at(answered_by, self.drained()).await;
         if drained.is_err() {
             self.log_progress("flushing", started);
+            self.caller_context.reception_end.cancel();
             // Connections that are still open after the timeout are dropped.
             let _ = tokio::time::timeout(schedule.flush_for, self.drained()).await;
         }
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -242,6 +242,7 @@
             limits: limits_receiver,
             closing: AtomicBool::new(false),
             shutdown: CancellationToken::new(),
+            reception_end: CancellationToken::new(),
             open_connections: AtomicUsize::new(0),
             requests_in_reception: AtomicUsize::new(0),
             max_connections: settings.max_caller_connections,
