A stopping node refuses at once what it cannot serve in time

Until now a request that a stopping node read late was taken whatever time it needed, and cut or failed at the end of the grace. Once load balancers have noticed that the node is not ready, a request is taken only if the stop leaves it the latency objective of its route; otherwise it is refused as not run, with Retry-After 0, so that its caller asks another node while it has time left. A request that may run once is not left with an unknown outcome.

Ruled out: to refuse from the signal on. Load balancers send new connections for two seconds more, and such a refusal would cost a try.

The test failed before: the request was sent to a server.

--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -301,6 +301,10 @@
             self.route(caller, head, self.now);
             return;
         }
+        if !self.can_take(Duration::ZERO) {
+            self.refuse(caller, &head, Refusal::stopping(Duration::ZERO));
+            return;
+        }
         let share = self.parameters.exchange.awaiting_share;
         if let Some(request) = self.pending.add(self.now, caller, head, share) {
             self.refuse_without_configuration(request);
@@ -347,6 +351,11 @@
             self.refuse(caller, &head, refusal);
             return;
         };
+        if !self.can_take(route.route.latency_objective) {
+            let waited = self.now.since(arrived);
+            self.refuse(caller, &head, Refusal::stopping(waited));
+            return;
+        }
         let (exchanges, mut context) = self.exchanges();
         exchanges.start(&mut context, caller, head, route, arrived);
     }
--- a/crates/thornbridge-core/src/gateway/planned_stop.rs
+++ b/crates/thornbridge-core/src/gateway/planned_stop.rs
@@ -12,12 +12,20 @@
 /// A planned stop in progress.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PlannedStop {
+    /// Until when requests are taken whatever time they need.
+    serves_until: Timestamp,
     /// When requests without an answer are answered with what is known.
     answers_at: Timestamp,
     has_ended: bool,
 }
 
 impl PlannedStop {
+    /// Whether a request that is answered within `needed` can be taken. Load balancers send requests
+    /// until they notice that the node is not ready.
+    fn can_take(&self, now: Timestamp, needed: Duration) -> bool {
+        now < self.serves_until || now + needed <= self.answers_at
+    }
+
     /// When the stop ends.
     pub(super) fn next_timeout(&self) -> Option<Timestamp> {
         (!self.has_ended).then_some(self.answers_at)
@@ -25,11 +33,12 @@
 }
 
 impl Gateway {
-    pub(super) fn stop_requested(&mut self, _serve_for: Duration, answer_within: Duration) {
+    pub(super) fn stop_requested(&mut self, serve_for: Duration, answer_within: Duration) {
         if self.planned_stop.is_some() {
             return;
         }
         self.planned_stop = Some(PlannedStop {
+            serves_until: self.now + serve_for,
             answers_at: self.now + answer_within,
             has_ended: false,
         });
@@ -39,6 +48,12 @@
         self.with_membership(Membership::leave);
     }
 
+    /// Whether this node goes on for as long as a request needs to be answered.
+    pub(super) fn can_take(&self, needed: Duration) -> bool {
+        let stop = self.planned_stop;
+        stop.is_none_or(|stop| stop.can_take(self.now, needed))
+    }
+
     /// Answers all requests of callers if the stop is to end.
     pub(super) fn end_stop_if_due(&mut self) {
         let now = self.now;
@@ -59,7 +74,7 @@
 impl Refusal {
     /// Refusal of a request that `waited` in a node that stops. Its caller may ask another node at
     /// once.
-    fn stopping(waited: Duration) -> Self {
+    pub(super) fn stopping(waited: Duration) -> Self {
         Self {
             reason: RefusalReason::Stopping,
             status: RefusalStatus::NotRun,
--- a/crates/thornbridge-core/src/gateway/tests/planned_stops.rs
+++ b/crates/thornbridge-core/src/gateway/tests/planned_stops.rs
@@ -106,3 +106,28 @@
     harness.advance(ANSWER_WITHIN);
     assert_eq!(status(&harness, caller), Some(RefusalStatus::NotRun));
 }
+
+/// Guards against requests that a stopping node takes though it cannot serve them in time.
+#[test]
+fn request_that_cannot_be_served_before_a_stop_ends_is_refused_at_once() {
+    let objective = millis(100);
+    let quick = Route {
+        latency_objective: objective,
+        ..route("/quick/", service("single"), Repeatable)
+    };
+    let routes = routes().into_iter().chain([quick]).collect();
+    let mut harness = Harness::serving(routes, &[("s1", "single")]);
+    stop(&mut harness);
+    let early = send(&mut harness, "/one/early");
+    harness.advance(SERVE_FOR);
+    let late = send(&mut harness, "/one/late");
+    assert_eq!(status(&harness, late), Some(RefusalStatus::NotRun));
+    assert_eq!(harness.retry_after(late), Some(Duration::ZERO));
+    assert!(harness.sent_for(late).is_empty());
+    let quick = send(&mut harness, "/quick/x");
+    assert!(!harness.sent_for(quick).is_empty());
+    assert!(!harness.answers.contains_key(&early));
+    harness.advance(ANSWER_WITHIN - SERVE_FOR - objective + millis(1));
+    let last = send(&mut harness, "/quick/y");
+    assert_eq!(status(&harness, last), Some(RefusalStatus::NotRun));
+}
