--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -1,15 +1,15 @@
 //! Event dispatch, timers and readiness of a gateway.
 
 use super::Gateway;
-use super::action::{GatewayAction, GatewayAnswer, RefusalReason, RefusalStatus};
-use super::caller_try::CallerTry;
+use super::action::{GatewayAction, RefusalReason, RefusalStatus};
 use super::event::{GatewayEvent, RequestHead};
 use super::exchange::{Context, Exchanges};
 use super::parameters::GatewayParameters;
 use super::pending::PendingRequest;
 use super::planned_stop::PlannedStop;
+use super::refusal::Refusal;
 use super::routes::RouteTable;
-use super::telemetry::{GatewayChange, RequestSummary, ViewOrigin};
+use super::telemetry::{GatewayChange, ViewOrigin};
 use super::views::gossip::send_digest;
 use crate::driver_action::CallerId;
 use crate::membership::Membership;
@@ -359,55 +359,4 @@
         let (exchanges, mut context) = self.exchanges();
         exchanges.start(&mut context, caller, head, route, arrived);
     }
-
-    pub(super) fn refuse(&mut self, caller: CallerId, head: &RequestHead, refusal: Refusal) {
-        let Refusal {
-            reason,
-            status,
-            retry_after,
-            caller_try,
-            waited,
-        } = refusal;
-        let mut summary = RequestSummary::unstarted(
-            head.id.clone().unwrap_or_default(),
-            head.fingerprint,
-            String::new(),
-            self.routes.version,
-            self.registry.revision().unwrap_or_default(),
-            reason,
-        );
-        summary.duration = waited;
-        let summary = summary.with_retry(caller_try, retry_after);
-        self.actions.push_back(GatewayAction::Finished(summary));
-        let answer = GatewayAnswer::Refused {
-            reason,
-            status,
-            retry_after,
-        };
-        self.actions
-            .push_back(GatewayAction::Answer { caller, answer });
-    }
-}
-
-/// Refusal of a request that was not routed.
-pub(super) struct Refusal {
-    pub(super) reason: RefusalReason,
-    pub(super) status: RefusalStatus,
-    pub(super) retry_after: Option<Duration>,
-    pub(super) caller_try: CallerTry,
-    /// Time that the request waited in this node.
-    pub(super) waited: Duration,
-}
-
-impl Refusal {
-    /// A refusal that a retry would not change.
-    fn permanent(reason: RefusalReason, status: RefusalStatus) -> Self {
-        Self {
-            reason,
-            status,
-            retry_after: None,
-            caller_try: CallerTry::Unknown,
-            waited: Duration::ZERO,
-        }
-    }
 }
--- a/crates/thornbridge-core/src/gateway/mod.rs
+++ b/crates/thornbridge-core/src/gateway/mod.rs
@@ -32,6 +32,7 @@
 mod pending;
 mod planned_stop;
 mod quarantine;
+mod refusal;
 mod rollout_updates;
 mod rollouts;
 mod routes;
--- a/crates/thornbridge-core/src/gateway/planned_stop.rs
+++ b/crates/thornbridge-core/src/gateway/planned_stop.rs
@@ -3,7 +3,7 @@
 use super::Gateway;
 use super::action::{GatewayAction, RefusalReason, RefusalStatus};
 use super::caller_try::CallerTry;
-use super::handling::Refusal;
+use super::refusal::Refusal;
 use super::telemetry::GatewayChange;
 use crate::membership::Membership;
 use crate::time::Timestamp;
--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -5,11 +5,12 @@
 use super::driver::{CallerRequest, GatewayInput};
 use super::headers::{HeaderNames, number_value, strip_hop_by_hop};
 use super::observed_stream::ObservedStream;
+use super::reception::{self, Reception};
 use crate::sockets;
 use crate::unanswered::{OutcomeUnknown, Unanswered};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{
     AUTHORIZATION, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER,
 };
@@ -41,8 +42,6 @@
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
-/// Time to receive a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// State shared by all caller connections.
 #[derive(Debug)]
@@ -153,7 +152,7 @@
 
 /// Why a request was rejected before it reached the driver.
 #[derive(Clone, Copy, Debug)]
-enum RejectedRequest {
+pub(super) enum RejectedRequest {
     BodyTooLarge,
     BodyTimedOut,
     BodyIncomplete,
@@ -205,11 +204,7 @@
     let has_length = parts.headers.contains_key(CONTENT_LENGTH);
     let reception = Reception::of(&context.requests_in_reception);
     let limit = context.limits.borrow().body_bytes;
-    let body = tokio::select! {
-        biased;
-        body = read_body(body, limit) => body?,
-        () = context.reception_end.cancelled() => return Err(RejectedRequest::Stopping.into()),
-    };
+    let body = reception::read_body(body, limit, &context.reception_end).await?;
     let head = request_head(&context.names, &parts, &body, first_on_connection);
     strip_hop_by_hop(&mut parts.headers);
     let (reply, answer) = oneshot::channel();
@@ -257,38 +252,6 @@
     }
 }
 
-/// Counts a request while it is received.
-struct Reception<'a>(&'a AtomicUsize);
-
-impl<'a> Reception<'a> {
-    fn of(requests: &'a AtomicUsize) -> Self {
-        requests.fetch_add(1, Ordering::Relaxed);
-        Self(requests)
-    }
-}
-
-impl Drop for Reception<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RejectedRequest> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    if body.size_hint().lower() > limit as u64 {
-        return Err(RejectedRequest::BodyTooLarge);
-    }
-    let collecting = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collecting).await {
-        Err(_) => Err(RejectedRequest::BodyTimedOut),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RejectedRequest::BodyTooLarge),
-        Ok(Err(_)) => Err(RejectedRequest::BodyIncomplete),
-    }
-}
-
 fn request_head(
     names: &HeaderNames,
     parts: &Parts,
--- a/crates/thornbridge-node/src/gateway/mod.rs
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod pending;
 mod planned_stop;
 mod process;
+mod reception;
 mod relaying;
 mod reply_body;
 mod server_reply;
