Entries of services that no configuration names displace no server

Cause: of two registry entries with one address the later one displaced the other, whatever service it was for, and a displaced server is tried again only when its entry changes. Class: a fact about a server from data that could not be used for anything else.

Change: address conflicts are settled between services that a configuration named, when the later of both is named.

Ruled out: ignoring all entries with the address of a live server (servers of named services do take over addresses, and arrivals there count at their service); a probe of its own (an attempt that is told 421 runs nowhere).

Tests: entry_of_unnamed_service_displaces_no_server fails without the change and passes with it; entries_with_one_address_are_settled_once_both_are_named is new. The tests beside them had let an unnamed service `t` displace, which this finding shows to be wrong: `t` has a route now, and every assertion on it is as it was.

--- a/crates/thornbridge-core/src/gateway/activation.rs
+++ b/crates/thornbridge-core/src/gateway/activation.rs
@@ -26,7 +26,8 @@
             return false;
         }
         let services = services_of(&configuration, &mut self.servers);
-        self.servers.configure(&configuration.services, services);
+        self.servers
+            .configure(&mut self.actions, &configuration.services, services);
         self.staging
             .stage(self.now, Arc::new(configuration), origin);
         self.slices_outdated = true;
--- a/crates/thornbridge-core/src/gateway/servers/displacing.rs
+++ b/crates/thornbridge-core/src/gateway/servers/displacing.rs
@@ -4,10 +4,15 @@
 //! removed. A request that is sent there is rejected, but it arrives at another service, whose budget
 //! of extra attempts it was not charged to. A displaced server gets no requests until its entry
 //! changes.
+//!
+//! Of two entries with one address the later one counts, but only between services that a configuration
+//! named: an entry of any other service may be that of another writer, and says nothing about who
+//! answers there. The server's own answer does.
 
 use super::server::Availability;
 use super::{ServerKey, Servers};
 use crate::gateway::action::GatewayAction;
+use crate::gateway::budget::ServiceKey;
 use crate::gateway::telemetry::{GatewayChange, ViewOrigin};
 use std::collections::VecDeque;
 use thornbridge_proto::BackEndId;
@@ -58,6 +63,21 @@
         is_current && self.displace(actions, key, ViewOrigin::Peer)
     }
 
+    /// Settles the address conflicts of a service that a configuration names for the first time.
+    pub(super) fn name_service(
+        &mut self,
+        actions: &mut VecDeque<GatewayAction>,
+        service: ServiceKey,
+    ) {
+        let entry = &mut self.services[service.0 as usize];
+        if std::mem::replace(&mut entry.is_named, true) {
+            return;
+        }
+        for key in entry.servers.clone() {
+            self.resolve_address_conflict(actions, key, ViewOrigin::Own);
+        }
+    }
+
     /// Displaces the server that had the address of a newly registered server, or the new one if the
     /// other's entry is later.
     pub(super) fn resolve_address_conflict(
@@ -66,9 +86,13 @@
         key: ServerKey,
         origin: ViewOrigin,
     ) {
-        let Some(server) = self.servers.get(&key).filter(|server| !server.is_leaving()) else {
+        let server = self.servers.get(&key);
+        let Some(server) = server.filter(|server| !server.is_leaving()) else {
             return;
         };
+        if !self.services[server.service.0 as usize].is_named {
+            return;
+        }
         let (address, revision) = (server.address, server.revision);
         let known = self.by_address.get(&address).copied();
         let other = known.filter(|other| *other != key);
--- a/crates/thornbridge-core/src/gateway/servers/mod.rs
+++ b/crates/thornbridge-core/src/gateway/servers/mod.rs
@@ -65,6 +65,8 @@
 #[derive(Debug, Default)]
 struct ServiceEntry {
     name: Option<ServiceName>,
+    /// Whether a configuration named it.
+    is_named: bool,
     servers: Vec<ServerKey>,
     /// Connections that each server accepts from all nodes together, if configured.
     connection_limit: Option<u32>,
@@ -174,10 +176,20 @@
         }
     }
 
-    /// Applies the connection limits of a configuration, and the services to keep warm.
-    pub(super) fn configure(&mut self, services: &[RoutedService], warm: BTreeSet<ServiceKey>) {
+    /// Applies the connection limits of a configuration, and the services of its routes, which are
+    /// kept warm.
+    pub(super) fn configure(
+        &mut self,
+        actions: &mut VecDeque<GatewayAction>,
+        services: &[RoutedService],
+        warm: BTreeSet<ServiceKey>,
+    ) {
+        for service in &warm {
+            self.name_service(actions, *service);
+        }
         for service in services {
             let key = self.service_key(&service.name);
+            self.name_service(actions, key);
             let entry = &mut self.services[key.0 as usize];
             entry.warm_up = service.warm_up;
             if entry.connection_limit != Some(service.connections) {
--- a/crates/thornbridge-core/src/gateway/tests/cold_shares.rs
+++ b/crates/thornbridge-core/src/gateway/tests/cold_shares.rs
@@ -55,7 +55,7 @@
             requests_per_s: rate,
         }),
     };
-    servers.configure(&[service], BTreeSet::new());
+    servers.configure(&mut VecDeque::new(), &[service], BTreeSet::new());
     for id in ids {
         let mut cold = instance(id, "s", InstanceState::Ready);
         cold.cold_milliseconds = 600_000;
--- a/crates/thornbridge-core/src/gateway/tests/displaced.rs
+++ b/crates/thornbridge-core/src/gateway/tests/displaced.rs
@@ -1,7 +1,7 @@
 //! Servers whose address another server has.
 
 use super::support::{
-    Harness, answer, instance, millis, peer, route, server_address, service, verdict,
+    Harness, answer, configuration, instance, millis, peer, route, server_address, service, verdict,
 };
 use crate::gateway::event::ReplyVerdict;
 use crate::gateway::{ViewKind, ViewObject};
@@ -9,10 +9,14 @@
 use thornbridge_proto::BackEndId;
 use thornbridge_proto::peer::view::{InstanceState, RegistryDelta, StoreRevision, ViewMessage};
 
-/// Gateway with these servers of one service.
+/// Gateway with these servers of one service, and a route to another one without servers.
 fn serving(servers: &[&str]) -> Harness {
     let servers: Vec<(&str, &str)> = servers.iter().map(|id| (*id, "s")).collect();
-    Harness::serving(vec![route("/", service("s"), Repeatable)], &servers)
+    let routes = ["s", "t"].map(|name| {
+        let prefix = format!("/{name}/");
+        route(&prefix, service(name), Repeatable)
+    });
+    Harness::serving(routes.to_vec(), &servers)
 }
 
 fn ready_entry(id: &str, revision: u64) -> ViewObject {
@@ -22,7 +26,7 @@
 
 /// Sends a request and has its first server answer that it is another one.
 fn displace_first(harness: &mut Harness) -> String {
-    let caller = harness.send_request("/x");
+    let caller = harness.send_request("/s/x");
     let first = harness.sent_for(caller)[0].clone();
     harness.reply(first.attempt, verdict(ReplyVerdict::WrongInstance));
     first.instance
@@ -51,7 +55,7 @@
 fn requests_queued_at_displaced_server_move_to_another() {
     let mut harness = serving(&["s1", "s2"]);
     harness.hold_connects();
-    let callers: Vec<_> = (0..4).map(|_| harness.send_request("/x")).collect();
+    let callers: Vec<_> = (0..4).map(|_| harness.send_request("/s/x")).collect();
     let in_flight = harness.sent.clone();
     assert_eq!(in_flight.len(), 2, "one connection to each server");
     harness.reply(in_flight[0].attempt, verdict(ReplyVerdict::WrongInstance));
@@ -72,7 +76,7 @@
     displace_first(&mut harness);
     harness.watch_reply(ViewKind::Registry, vec![ready_entry("s1", 51)], 51);
     harness.advance(millis(300));
-    harness.send_request("/x");
+    harness.send_request("/s/x");
     assert_eq!(harness.sent.len(), 2);
 }
 
@@ -105,7 +109,7 @@
 fn server_that_peer_reports_displaced_gets_no_attempt() {
     let mut harness = serving(&["s1"]);
     harness.view_message(peer(1), report(&[(10, "s1")]));
-    harness.send_request("/x");
+    harness.send_request("/s/x");
     assert_eq!(harness.sent.len(), 0);
 }
 
@@ -127,7 +131,7 @@
     let mut harness = serving(&["s1"]);
     harness.watch_reply(ViewKind::Registry, vec![ready_entry("s1", 51)], 51);
     harness.view_message(peer(1), report(&[(10, "s1")]));
-    harness.send_request("/x");
+    harness.send_request("/s/x");
     assert_eq!(harness.sent.len(), 1);
 }
 
@@ -142,7 +146,11 @@
 
 /// An entry of another service at the address of a server.
 fn entry_at_address_of(id: &str, revision: u64) -> ViewObject {
-    let mut instance = instance("other", "t", InstanceState::Ready);
+    entry_of_service_at_address_of(id, "t", revision)
+}
+
+fn entry_of_service_at_address_of(id: &str, service: &str, revision: u64) -> ViewObject {
+    let mut instance = instance("other", service, InstanceState::Ready);
     instance.address = server_address(id);
     ViewObject::Instance(StoreRevision::without_era(revision), instance)
 }
@@ -151,7 +159,7 @@
 fn server_whose_address_is_registered_by_another_gets_no_attempt() {
     let mut harness = serving(&["s1"]);
     harness.watch_reply(ViewKind::Registry, vec![entry_at_address_of("s1", 51)], 51);
-    harness.send_request("/x");
+    harness.send_request("/s/x");
     assert_eq!(harness.sent.len(), 0);
 }
 
@@ -166,11 +174,39 @@
         ];
         harness.watch_reply(ViewKind::Registry, entries, 70);
         harness.advance(millis(300));
-        harness.send_request("/x");
+        harness.send_request("/s/x");
         assert_eq!(harness.sent.len(), attempts, "{other_revision}");
     }
 }
 
+/// Guards against entries of other writers that take sound servers out of use.
+#[test]
+fn entry_of_unnamed_service_displaces_no_server() {
+    let mut harness = serving(&["s1"]);
+    let foreign = entry_of_service_at_address_of("s1", "unnamed", 51);
+    harness.watch_reply(ViewKind::Registry, vec![foreign], 51);
+    let caller = harness.send_request("/s/x");
+    assert_eq!(harness.sent_for(caller).len(), 1);
+}
+
+#[test]
+fn entries_with_one_address_are_settled_once_both_are_named() {
+    let mut harness = serving(&["s1"]);
+    let later = entry_of_service_at_address_of("s1", "later", 51);
+    harness.watch_reply(ViewKind::Registry, vec![later], 51);
+    let routes = ["s", "later"].map(|name| {
+        let prefix = format!("/{name}/");
+        route(&prefix, service(name), Repeatable)
+    });
+    let named = ViewObject::Configuration(configuration(2, routes.to_vec()));
+    harness.watch_reply(ViewKind::Configuration, vec![named], 52);
+    harness.advance(millis(5_000));
+    let caller = harness.send_request("/s/x");
+    assert!(harness.sent_for(caller).is_empty());
+    let caller = harness.send_request("/later/x");
+    assert_eq!(harness.sent_for(caller)[0].instance, "other");
+}
+
 /// Guards against an old entry that takes the address back when it begins to drain.
 #[test]
 fn draining_entry_displaces_no_server() {
@@ -182,7 +218,7 @@
     let draining = ViewObject::Instance(StoreRevision::without_era(52), draining);
     harness.watch_reply(ViewKind::Registry, vec![newer, draining], 52);
     harness.advance(millis(300));
-    let caller = harness.send_request("/x");
+    let caller = harness.send_request("/s/x");
     assert_eq!(harness.sent_for(caller)[0].instance, "s2");
 }
 
@@ -191,9 +227,9 @@
 fn connection_that_opens_after_displacement_is_closed() {
     let mut harness = serving(&["s1"]);
     harness.hold_connects();
-    harness.send_request("/x");
+    harness.send_request("/s/x");
     let in_flight = harness.sent[0].attempt;
-    harness.send_request("/x");
+    harness.send_request("/s/x");
     let opening = harness.pending.clone();
     assert!(!opening.is_empty());
     harness.reply(in_flight, verdict(ReplyVerdict::WrongInstance));
--- a/crates/thornbridge-core/src/gateway/tests/subsets.rs
+++ b/crates/thornbridge-core/src/gateway/tests/subsets.rs
@@ -66,7 +66,8 @@
         for service in &services {
             warm.insert(node.servers.service_key(&service.name));
         }
-        node.servers.configure(&services, warm);
+        node.servers
+            .configure(&mut VecDeque::new(), &services, warm);
         for shard in 0..shards {
             for replica in 0..REPLICAS {
                 node.register(shard, replica);
