A value of a log line is cut after 2,048 bytes

Cause: a name of 900,000 bytes in an entry of the store was written whole into one line, again with each change (the users' trial: lines of 900,217 bytes, 5 to 10 MB of logs in 30 s from one entry). Class: output whose length another writer chooses.

Change: the formatter cuts each value and message, and says how long it was. The test long_value_is_cut_in_its_line came with the change; it was not run without it.

--- a/crates/thornbridge/src/logging.rs
+++ b/crates/thornbridge/src/logging.rs
@@ -1,6 +1,9 @@
 //! The log: one line a change of state on standard error, with key-value pairs. A gateway writes
 //! to standard output, through a bounded queue: a log that nobody reads holds nothing up.
 
+#[cfg(test)]
+mod tests;
+
 use crate::output::Format;
 use env_logger::{Builder, Env, Target};
 use log::kv::{self, Key, Value, VisitSource};
@@ -26,6 +29,10 @@
     builder.init();
 }
 
+/// Longest text of a value in a line. Names and reasons come from the store and from callers, and may be
+/// as long as their senders like.
+const MAX_VALUE_BYTES: usize = 2_048;
+
 fn write_json(
     output: &mut env_logger::fmt::Formatter,
     record: &log::Record<'_>,
@@ -34,7 +41,7 @@
         "time": output.timestamp_millis().to_string(),
         "level": record.level().as_str(),
         "target": record.target(),
-        "message": record.args().to_string(),
+        "message": bounded(record.args().to_string()),
         "fields": fields(record.key_values()),
     });
     writeln!(output, "{line}")
@@ -87,6 +94,19 @@
     }
 }
 
+/// A text, or its beginning and its length.
+fn bounded(mut text: String) -> String {
+    let len = text.len();
+    if len > MAX_VALUE_BYTES {
+        let end = (0..=MAX_VALUE_BYTES)
+            .rev()
+            .find(|end| text.is_char_boundary(*end));
+        text.truncate(end.unwrap_or_default());
+        text.push_str(&format!("... ({len} bytes)"));
+    }
+    text
+}
+
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
@@ -94,7 +114,7 @@
         let value = match (value.to_u64(), value.to_bool()) {
             (Some(number), _) => json!(number),
             (None, Some(truth)) => json!(truth),
-            (None, None) => json!(value.to_string()),
+            (None, None) => json!(bounded(value.to_string())),
         };
         self.0.insert(key.to_string(), value);
         Ok(())
