Times beyond what a duration holds end no process

Cause: numbers of callers and configurations became durations without a bound, and sums of two of them panic. Class: arithmetic on values that another party chooses.

--- a/crates/thornbridge-core/src/gateway/caller_try.rs
+++ b/crates/thornbridge-core/src/gateway/caller_try.rs
@@ -49,7 +49,7 @@
 impl ObservedTimeouts {
     /// Records the timeout stated by a request.
     pub(super) fn observe(&mut self, timeout: Duration) {
-        if timeout > self.longest + TOLERANCE {
+        if timeout > self.longest.saturating_add(TOLERANCE) {
             self.longest = timeout;
             self.longest_count = 0;
         }
@@ -73,7 +73,7 @@
     }
 
     fn is_longest(&self, timeout: Duration) -> bool {
-        timeout + TOLERANCE >= self.longest
+        timeout.saturating_add(TOLERANCE) >= self.longest
     }
 }
 
--- a/crates/thornbridge-core/src/gateway/handling.rs
+++ b/crates/thornbridge-core/src/gateway/handling.rs
@@ -23,6 +23,8 @@
 const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(200);
 /// How long after a process pause received messages count as stale.
 const STALE_AFTER_PAUSE: Duration = Duration::from_millis(100);
+/// Longest time that a caller waits. Sums with longer ones would exceed what a duration holds.
+const MAX_CALLER_TIMEOUT: Duration = Duration::from_secs(24 * 60 * 60);
 /// Time after start at which a node becomes ready even if some shards have no connection.
 const WARM_UP_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -296,7 +298,10 @@
         knows_servers && shards.into_iter().all(warm)
     }
 
-    fn request(&mut self, caller: CallerId, head: RequestHead) {
+    fn request(&mut self, caller: CallerId, mut head: RequestHead) {
+        head.caller_timeout = head
+            .caller_timeout
+            .map(|timeout| timeout.min(MAX_CALLER_TIMEOUT));
         if self.has_views() {
             self.route(caller, head, self.now);
             return;
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -12,6 +12,7 @@
 mod divisions;
 mod eras;
 mod evacuations;
+mod extreme_values;
 mod freshness;
 mod grants;
 mod hedges;
--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -264,10 +264,6 @@
             .get(name)
             .and_then(|value: &HeaderValue| value.to_str().ok())
     };
-    let caller_timeout =
-        text(&names.caller_timeout).and_then(|value| value.trim().parse::<f64>().ok());
-    let caller_timeout = caller_timeout
-        .filter(|caller_timeout| caller_timeout.is_finite() && *caller_timeout >= 0.0);
     let host = host_without_port(text(&HOST).unwrap_or_default());
     let target = parts.uri.path_and_query();
     let credentials = parts.headers.get(AUTHORIZATION);
@@ -283,11 +279,20 @@
         fingerprint,
         host,
         path: parts.uri.path().to_owned(),
-        caller_timeout: caller_timeout.map(|millis| Duration::from_secs_f64(millis / 1_000.0)),
+        caller_timeout: text(&names.caller_timeout).and_then(parse_timeout),
         first_on_connection,
     }
 }
 
+/// Timeout in milliseconds; the longest duration if it exceeds that, `None` if it is no time.
+fn parse_timeout(value: &str) -> Option<Duration> {
+    let millis: f64 = value.trim().parse().ok()?;
+    let is_time = millis.is_finite() && millis >= 0.0;
+    let timeout = is_time.then(|| Duration::try_from_secs_f64(millis / 1_000.0))?;
+    // Of a number that is a time, only one that is too large fails.
+    Some(timeout.unwrap_or(Duration::MAX))
+}
+
 /// Host without port, in lower case.
 fn host_without_port(host: &str) -> String {
     let name = match host.rsplit_once(':') {
--- a/crates/thornbridge-node/src/gateway/callers/tests.rs
+++ b/crates/thornbridge-node/src/gateway/callers/tests.rs
@@ -3,10 +3,12 @@
 use super::super::driver::GatewayInput;
 use super::super::headers::HeaderNames;
 use super::{CallerContext, listen};
+use assert_matches::assert_matches;
 use hyper::header::HeaderName;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize};
+use std::time::Duration;
 use thornbridge_config::routes::CallerLimits;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -59,12 +61,45 @@
 }
 
 async fn send_request(address: SocketAddr) -> TcpStream {
+    send_request_with(address, "").await
+}
+
+/// Sends a request with more header lines.
+async fn send_request_with(address: SocketAddr, lines: &str) -> TcpStream {
     let mut stream = TcpStream::connect(address).await.expect("a connection");
-    let request = b"POST /once/x HTTP/1.1\r\nhost: h\r\nx-id: 1\r\ncontent-length: 0\r\n\r\n";
-    stream.write_all(request).await.expect("sent");
+    let request =
+        format!("POST /once/x HTTP/1.1\r\nhost: h\r\nx-id: 1\r\ncontent-length: 0\r\n{lines}\r\n");
+    stream.write_all(request.as_bytes()).await.expect("sent");
     stream
 }
 
+/// Guards against a number in a header that ends the task of its connection.
+#[tokio::test]
+async fn any_timeout_of_a_caller_reaches_the_driver() {
+    let (inputs, mut driver) = mpsc::channel(1);
+    let address = start_listener(inputs).await;
+    let digits = "9".repeat(400);
+    let values = [
+        ("3000", Some(Duration::from_secs(3))),
+        ("18446744073709551615000", Some(Duration::MAX)),
+        ("1e30", Some(Duration::MAX)),
+        (digits.as_str(), None),
+        ("inf", None),
+        ("NaN", None),
+        ("-1", None),
+        ("soon", None),
+    ];
+    for (value, expected) in values {
+        let stream = send_request_with(address, &format!("x-patience: {value}\r\n")).await;
+        tokio::select! {
+            input = driver.recv() => assert_matches!(input, Some(GatewayInput::Request(request)) => {
+                assert_eq!(request.head.caller_timeout, expected, "{value}");
+            }),
+            answer = read_answer(stream) => panic!("{value}: closed after {answer:?}"),
+        }
+    }
+}
+
 /// Guards against a 503, which promises that the request did not run, for a request that may have
 /// reached a server when the process ended.
 #[tokio::test]
