Nodes: the most connections from callers is a setting

Cause: the 4,096 connections of a node's callers could not be lowered, so that neither a small machine nor a test with a small crowd could bound them. Change: setting and flag caller_connections, 4,096 where absent; 0 is refused. Behaviour without the setting is as before.

--- a/crates/thornbridge-config/src/parse/settings_reader.rs
+++ b/crates/thornbridge-config/src/parse/settings_reader.rs
@@ -17,6 +17,7 @@
     "advertised_operator_address",
     "platform_address",
     "seeds",
+    "caller_connections",
     "cluster_key_file",
     "trusted_keys",
 ];
@@ -44,6 +45,7 @@
         advertised_operator_address: advertised_operator.and_then(|entry| reader.address(&entry)),
         platform_address: address(reader, &table, "platform_address"),
         seeds: seeds(reader, &table),
+        caller_connections: caller_connections(reader, &table),
         cluster_key_file: text(reader, &table, "cluster_key_file", "a file").into(),
         trusted_keys: trusted_keys(reader, &table),
     }
@@ -60,6 +62,11 @@
         .collect()
 }
 
+fn caller_connections(reader: &mut Reader<'_>, table: &Table<'_>) -> Option<usize> {
+    let entry = reader.optional(table, "caller_connections")?;
+    reader.whole(&entry, "a whole number")
+}
+
 fn trusted_keys(reader: &mut Reader<'_>, table: &Table<'_>) -> Vec<TrustedKey> {
     const EXPECTED: &str = "an array of tables with id and public_key";
     let Some(entry) = reader.required(table, "trusted_keys", EXPECTED) else {
--- a/crates/thornbridge-config/src/settings.rs
+++ b/crates/thornbridge-config/src/settings.rs
@@ -33,6 +33,9 @@
     /// Peers to join through.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// Most connections from callers at once; 4,096 where absent.
+    #[serde(default)]
+    pub caller_connections: Option<usize>,
     /// File with the cluster key that authenticates peers; must not be readable by others.
     pub cluster_key_file: PathBuf,
     /// Keys that may approve bundles.
--- a/crates/thornbridge-config/src/validation/settings_checks.rs
+++ b/crates/thornbridge-config/src/validation/settings_checks.rs
@@ -15,6 +15,9 @@
         findings.add("cluster_key_file".to_owned(), "\"\"", "the name of a file");
     }
     check_trusted_keys(settings, findings);
+    if settings.caller_connections == Some(0) {
+        findings.add("caller_connections".to_owned(), 0, "1 or more");
+    }
 }
 
 /// Listening addresses may be unspecified, but not the same. Port 0 is any free port.
--- a/crates/thornbridge-node/src/settings.rs
+++ b/crates/thornbridge-node/src/settings.rs
@@ -34,11 +34,18 @@
 
     /// Settings with the default tunable values and a key already read.
     pub fn new(node: NodeSettings, cluster_key: ClusterKey) -> Self {
+        let defaults = TransportParameters::default();
+        let transport = TransportParameters {
+            caller_connections: node
+                .caller_connections
+                .unwrap_or(defaults.caller_connections),
+            ..defaults
+        };
         Self {
             node,
             cluster_key,
             parameters: Parameters::default(),
-            transport: TransportParameters::default(),
+            transport,
             peers: PeerParameters::default(),
         }
     }
--- a/crates/thornbridge-node/tests/sockets/support/deployment.rs
+++ b/crates/thornbridge-node/tests/sockets/support/deployment.rs
@@ -141,6 +141,7 @@
         advertised_operator_address: None,
         platform_address,
         seeds: Vec::new(),
+        caller_connections: None,
         cluster_key_file: "unused".into(),
         trusted_keys: vec![key],
     };
--- a/crates/thornbridge/src/commands/node.rs
+++ b/crates/thornbridge/src/commands/node.rs
@@ -63,6 +63,9 @@
     /// Peer to join through; may be repeated
     #[bpaf(argument("ADDRESS"))]
     seed: Vec<String>,
+    /// Most connections from callers at once
+    #[bpaf(argument("NUMBER"))]
+    caller_connections: Option<u32>,
     /// File of the cluster key
     #[bpaf(argument("FILE"))]
     cluster_key_file: Option<PathBuf>,
@@ -140,6 +143,10 @@
         let mut table: Table = texts
             .filter_map(|(key, text)| Some((key.to_owned(), Value::String(text?))))
             .collect();
+        if let Some(connections) = self.caller_connections {
+            let connections = Value::Integer(connections.into());
+            table.insert("caller_connections".to_owned(), connections);
+        }
         if !self.seed.is_empty() {
             let seeds = self.seed.into_iter().map(Value::String);
             table.insert("seeds".to_owned(), Value::Array(seeds.collect()));
--- a/crates/thornbridge/src/demo/deployment.rs
+++ b/crates/thornbridge/src/demo/deployment.rs
@@ -103,6 +103,7 @@
             advertised_operator_address: None,
             platform_address: self.platform_address,
             seeds: self.nodes.iter().map(RunningNode::peer_address).collect(),
+            caller_connections: None,
             cluster_key_file: PathBuf::new(),
             trusted_keys: vec![self.approval_key.trusted_key()],
         }
