Tests: callers that make gateways and nodes hold memory and connections

What callers met: a crowd that sends bodies which stop short of their end, that waits, that does not read its answers or that only keeps connections open makes a process hold several times its memory, or takes all places, and ordinary callers are turned away.

The tests start the system's own processes with lowered limits (a gateway: 96 MB and 240 connections; a node: 64 MB and 800 connections), send a crowd and check that the process lives, that its peak memory (VmHWM, with what the system holds for its callers' connections) and its descriptors stay within the settings, and that an ordinary caller is answered in three tries.

--- a/crates/thornbridge-rehearsal/src/lib.rs
+++ b/crates/thornbridge-rehearsal/src/lib.rs
@@ -5,9 +5,11 @@
 //! [`rehearse`] runs one rehearsal, [`fuzz`] many, [`compare`] several policies; [`report`] draws one;
 //! [`scale`] measures what control costs as the cluster grows.
 //! [`gateway`] does the same for HTTP gateways over a registry of servers.
-//! [`stand_in`] are the platform and back ends over real sockets; [`load`] offers load to real nodes.
+//! [`stand_in`] are the platform and back ends over real sockets; [`load`] offers load to real nodes;
+//! [`crowd`] are callers that make them hold memory and connections.
 
 pub mod compare;
+pub mod crowd;
 pub mod fault;
 pub mod fuzz;
 pub mod gateway;
--- a/crates/thornbridge/tests/process/support/cluster.rs
+++ b/crates/thornbridge/tests/process/support/cluster.rs
@@ -32,13 +32,19 @@
     pub platform_address: SocketAddr,
     directory: TempDir,
     trusted_key: String,
+    more_settings: String,
     started_nodes: usize,
 }
 
 impl Cluster {
     /// A cluster whose nodes all have the first version in force.
     pub async fn ready(nodes: usize) -> Self {
-        let cluster = Self::without_configuration(nodes).await;
+        Self::ready_with(nodes, "").await
+    }
+
+    /// The same, with further lines of settings.
+    pub async fn ready_with(nodes: usize, more_settings: &str) -> Self {
+        let cluster = Self::start(nodes, more_settings).await;
         cluster.publish_and_approve("1").await;
         assert_eq!(cluster.rollout("1").await.code, Some(0));
         cluster.await_generation(Generation(1)).await;
@@ -47,6 +53,10 @@
 
     /// A cluster whose platform holds nothing yet.
     pub async fn without_configuration(nodes: usize) -> Self {
+        Self::start(nodes, "").await
+    }
+
+    async fn start(nodes: usize, more_settings: &str) -> Self {
         let directory = TempDir::new().expect("directory");
         let path = directory.path();
         let trusted_key = make_keys(path).await;
@@ -67,6 +77,7 @@
             platform_address: ready.address,
             directory,
             trusted_key,
+            more_settings: more_settings.to_owned(),
             started_nodes: 0,
         };
         // The settings of any node tell operators which keys count.
@@ -111,11 +122,13 @@
 platform_address = "{}"
 seeds = [{}]
 cluster_key_file = "cluster.key"
+{}
 
 {}
 "#,
             self.platform_address,
             seeds.join(", "),
+            self.more_settings,
             self.trusted_key
         )
     }
--- a/crates/thornbridge/tests/process/support/program.rs
+++ b/crates/thornbridge/tests/process/support/program.rs
@@ -72,7 +72,7 @@
             Signal::Continue => "CONT",
         };
         // The workspace forbids unsafe code, which a call of kill(2) would need.
-        let command = format!("kill -{signal} {}", self.child.id());
+        let command = format!("kill -{signal} {}", self.id());
         let sent = Command::new("sh").args(["-c", &command]).status();
         assert!(sent.expect("shell").success());
     }
@@ -82,6 +82,11 @@
         self.child.try_wait().expect("child")
     }
 
+    /// Process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     fn tail(&self) -> String {
         let log = std::fs::read(&self.log).unwrap_or_default();
         let start = log.len().saturating_sub(LOG_TAIL_BYTES);
