Tests: a crowd does not overflow the backlog of a listener

Callers come one after the other in waves of 32 that wait while more than 64 connections are not accepted yet.

--- a/crates/thornbridge-rehearsal/src/crowd/mod.rs
+++ b/crates/thornbridge-rehearsal/src/crowd/mod.rs
@@ -13,6 +13,11 @@
 
 /// Connections that a caller of a crowd opens, one after the other, before it stays away.
 const MAX_ROUNDS: usize = 3;
+/// Callers that come at once.
+const WAVE: usize = 32;
+/// Connections that wait to be accepted, beyond which no further caller comes: those that a listener's
+/// backlog does not hold would be open on one side only.
+const MAX_WAITING_CONNECTIONS: u64 = 64;
 /// Receive buffer of callers that do not read: the system may take twice as much.
 const UNREAD_BUFFER_BYTES: usize = 4 * 1_024;
 
@@ -91,8 +96,14 @@
     ) -> Self {
         let mut running = JoinSet::new();
         for caller in 0..callers {
+            if caller % WAVE == 0 {
+                while usage::waiting_connections(address) > MAX_WAITING_CONNECTIONS {
+                    tokio::task::yield_now().await;
+                }
+            }
             let behaviour = behaviour(caller);
-            running.spawn(async move { run_caller(address, &behaviour).await });
+            let first = connect(address, behaviour.afterwards).await;
+            running.spawn(async move { run_caller(address, first, &behaviour).await });
         }
         let open = running.join_all().await.into_iter().flatten().collect();
         Self { open }
@@ -105,18 +116,28 @@
 }
 
 /// The connection that the caller holds in the end.
-async fn run_caller(address: SocketAddr, behaviour: &Behaviour) -> Option<TcpStream> {
-    for _ in 0..MAX_ROUNDS {
-        if let Some(held) = run_round(address, behaviour).await {
+async fn run_caller(
+    address: SocketAddr,
+    first: Option<TcpStream>,
+    behaviour: &Behaviour,
+) -> Option<TcpStream> {
+    let mut connection = first;
+    for round in 1.. {
+        if let Some(stream) = connection
+            && let Some(held) = run_round(stream, behaviour).await
+        {
             return Some(held);
         }
+        if round == MAX_ROUNDS {
+            break;
+        }
+        connection = connect(address, behaviour.afterwards).await;
     }
     None
 }
 
-/// Sends everything on a new connection; `None` if that is closed or refused.
-async fn run_round(address: SocketAddr, behaviour: &Behaviour) -> Option<TcpStream> {
-    let mut stream = connect(address, behaviour.afterwards).await?;
+/// Sends everything; `None` if the connection is closed meanwhile.
+async fn run_round(mut stream: TcpStream, behaviour: &Behaviour) -> Option<TcpStream> {
     for piece in &behaviour.pieces {
         match behaviour.afterwards {
             Afterwards::StayWhenBlocked => write_until_blocked(&stream, piece)?,
--- a/crates/thornbridge-rehearsal/src/crowd/usage.rs
+++ b/crates/thornbridge-rehearsal/src/crowd/usage.rs
@@ -4,8 +4,9 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-/// State of an established connection in `/proc/net/tcp`.
+/// States of a socket in `/proc/net/tcp`.
 const ESTABLISHED: &str = "01";
+const LISTENING: &str = "0A";
 
 /// Most memory that a running process held, in MB.
 pub fn peak_memory_mb(pid: u32) -> u64 {
@@ -34,26 +35,38 @@
 impl SystemBuffers {
     /// Of the open connections to an IPv4 address.
     pub fn of_listener(address: SocketAddr) -> Self {
-        let connections = fs::read_to_string("/proc/net/tcp").expect("connections");
-        let local = proc_address(address);
         let mut sum = Self::default();
-        for line in connections.lines() {
-            let fields: Vec<&str> = line.split_whitespace().collect();
-            let &[_, local_address, _, state, queues, ..] = &fields[..] else {
-                continue;
-            };
-            if local_address != local || state != ESTABLISHED {
-                continue;
-            }
-            let (sent, received) = queues.split_once(':').expect("two queues");
-            let bytes = |hex| u64::from_str_radix(hex, 16).expect("a hexadecimal number");
-            sum.unread_bytes += bytes(received);
-            sum.unsent_bytes += bytes(sent);
+        for (unsent_bytes, unread_bytes) in queues(address, ESTABLISHED) {
+            sum.unsent_bytes += unsent_bytes;
+            sum.unread_bytes += unread_bytes;
         }
         sum
     }
 }
 
+/// Connections that wait to be accepted by the listener of an IPv4 address.
+pub fn waiting_connections(address: SocketAddr) -> u64 {
+    let queues = queues(address, LISTENING);
+    queues.into_iter().map(|(_, waiting)| waiting).sum()
+}
+
+/// Send and receive queues of an address's sockets in a state.
+fn queues(address: SocketAddr, wanted_state: &str) -> Vec<(u64, u64)> {
+    let sockets = fs::read_to_string("/proc/net/tcp").expect("sockets");
+    let local = proc_address(address);
+    let queues = sockets.lines().filter_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let &[_, local_address, _, state, queues, ..] = &fields[..] else {
+            return None;
+        };
+        let (sending, receiving) = queues.split_once(':')?;
+        let count = |hex| u64::from_str_radix(hex, 16).expect("a hexadecimal number");
+        (local_address == local && state == wanted_state)
+            .then(|| (count(sending), count(receiving)))
+    });
+    queues.collect()
+}
+
 /// An address as `/proc/net/tcp` shows it: the IP number in the machine's byte order.
 fn proc_address(address: SocketAddr) -> String {
     let SocketAddr::V4(address) = address else {
