Gateways: bodies of requests hold a quarter of the memory together

What callers met: bodies that stop short of their end, whole, in pieces or in chunks, and whole bodies that wait for a server made a gateway hold 200 to 329 MB of 96 MB (160 bodies of 1 MiB; 24 bodies of 256 KiB in chunks of a byte: 263 MB), so that the process is ended for its memory. Cause: a body had a limit, their sum had none; and each piece of a body was kept as a buffer of its own, some 40 bytes for a byte. Class: a limit on each of many things whose number has none. Ruled out: a smaller limit for each body (the operator's), a shorter time for a body (the crowd comes back). Change: each connection has an account in a table. Bytes are reserved before they are held, as much as the buffers hold, and stay counted as long as anything refers to them, also at a server's connection. Beyond a quarter of the memory, room is made by evicting accounts: what was held times how long, callers that the process waits for first. A body in reception is answered 503, one that may have run 502, and the connection is closed. One request alone may exceed the quarter. Pieces are joined in one buffer.

--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -6,9 +6,11 @@
 use super::headers::{HeaderNames, number_value, strip_hop_by_hop};
 use super::observed_stream::ObservedStream;
 use super::reception::{self, Reception};
+use crate::caller_table::{Account, CallerTable, Phase};
 use crate::sockets;
 use crate::unanswered::{OutcomeUnknown, Unanswered};
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{
@@ -40,6 +42,8 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Interval between checks of a connection's timeouts.
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Reason of a rejection where the process holds all that it may.
+const OVERLOADED: &str = "overloaded";
 /// Minimum buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -57,7 +61,8 @@
     pub(super) shutdown: CancellationToken,
     /// Cancelled when a planned stop takes no request any more.
     pub(super) reception_end: CancellationToken,
-    pub(super) open_connections: AtomicUsize,
+    /// Connections, and the memory that callers hold.
+    pub(super) table: Arc<CallerTable>,
     /// Requests whose head was read and that the driver does not know yet.
     pub(super) requests_in_reception: AtomicUsize,
     pub(super) max_connections: usize,
@@ -74,14 +79,13 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                if context.open_connections.load(Ordering::Relaxed) >= context.max_connections {
+                if context.table.open() >= context.max_connections {
                     continue;
                 }
-                context.open_connections.fetch_add(1, Ordering::Relaxed);
+                let account = context.table.admit(context.max_connections).await;
                 let context = Arc::clone(&context);
                 tokio::spawn(async move {
-                    serve_connection(&context, stream).await;
-                    context.open_connections.fetch_sub(1, Ordering::Relaxed);
+                    serve_connection(&context, stream, &Arc::new(account)).await;
                 });
             }
             Err(error) => {
@@ -92,7 +96,7 @@
     }
 }
 
-async fn serve_connection(context: &Arc<CallerContext>, stream: TcpStream) {
+async fn serve_connection(context: &Arc<CallerContext>, stream: TcpStream, account: &Arc<Account>) {
     sockets::prepare(&stream, TCP_USER_TIMEOUT);
     let activity = Activity::new();
     let stream = ObservedStream::new(stream, Arc::clone(&activity));
@@ -100,7 +104,8 @@
     let service = service_fn(|request| {
         let context = Arc::clone(context);
         let activity = Arc::clone(&activity);
-        async move { handle_request(&context, &activity, request).await }
+        let account = Arc::clone(account);
+        async move { handle_request(&context, &activity, &account, request).await }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -115,6 +120,7 @@
         tokio::select! {
             biased;
             _ = &mut connection => return,
+            () = account.evicted() => break,
             () = context.shutdown.cancelled() => break,
             _ = timeout_check.tick() => {
                 let limits = *context.limits.borrow();
@@ -125,18 +131,29 @@
         }
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    tokio::select! {
+        biased;
+        () = account.evicted() => {}
+        _ = &mut connection => return,
+    }
+    // The request, if there is one, is rejected at once. A caller that does not take that is not waited for.
+    let _ = connection.now_or_never();
 }
 
 async fn handle_request(
     context: &CallerContext,
     activity: &Activity,
+    account: &Account,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, OutcomeUnknown> {
     let first_on_connection = activity.request_started();
-    let mut response = match submit(context, request, first_on_connection).await {
+    account.set_phase(Phase::AwaitingCaller);
+    let submitted = submit(context, account, request, first_on_connection).await;
+    account.set_phase(Phase::AwaitingCaller);
+    let mut response = match submitted {
         Ok(answer) => answer_response(&context.names, answer),
         Err(RequestError::Rejected(rejection)) => rejection.response(),
+        Err(RequestError::Evicted) => closing_response(StatusCode::BAD_GATEWAY, OVERLOADED),
         Err(RequestError::Unanswered(Unanswered::NotAccepted)) => {
             RejectedRequest::Stopping.response()
         }
@@ -156,6 +173,7 @@
     BodyTooLarge,
     BodyTimedOut,
     BodyIncomplete,
+    Overloaded,
     Stopping,
 }
 
@@ -163,6 +181,8 @@
 #[derive(Clone, Copy, Debug)]
 enum RequestError {
     Rejected(RejectedRequest),
+    /// The caller had to give way to others after the driver had taken the request.
+    Evicted,
     Unanswered(Unanswered),
 }
 
@@ -184,17 +204,16 @@
             Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
             Self::BodyTimedOut => (StatusCode::REQUEST_TIMEOUT, "body_too_slow"),
             Self::BodyIncomplete => (StatusCode::BAD_REQUEST, "body_broken"),
+            Self::Overloaded => (StatusCode::SERVICE_UNAVAILABLE, OVERLOADED),
             Self::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
         };
-        let mut response = error_response(status, reason);
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
-        response
+        closing_response(status, reason)
     }
 }
 
 async fn submit(
     context: &CallerContext,
+    account: &Account,
     request: Request<Incoming>,
     first_on_connection: bool,
 ) -> Result<GatewayAnswer, RequestError> {
@@ -204,7 +223,8 @@
     let has_length = parts.headers.contains_key(CONTENT_LENGTH);
     let reception = Reception::of(&context.requests_in_reception);
     let limit = context.limits.borrow().body_bytes;
-    let body = reception::read_body(body, limit, &context.reception_end).await?;
+    let body = reception::read_body(body, limit, account, &context.reception_end).await?;
+    account.set_phase(Phase::AwaitingAnswer);
     let head = request_head(&context.names, &parts, &body, first_on_connection);
     strip_hop_by_hop(&mut parts.headers);
     let (reply, answer) = oneshot::channel();
@@ -229,7 +249,11 @@
         disconnected: &context.disconnected,
         armed: true,
     };
-    let decided = answer.await;
+    let decided = tokio::select! {
+        biased;
+        decided = answer => decided,
+        () = account.evicted() => return Err(RequestError::Evicted),
+    };
     guard.armed = false;
     let decided = decided.map_err(|_| Unanswered::OutcomeUnknown(OutcomeUnknown))?;
     context.answer_delays.observe(&decided);
@@ -366,6 +390,13 @@
     response
 }
 
+fn closing_response(status: StatusCode, reason: &str) -> Response<Full<Bytes>> {
+    let mut response = error_response(status, reason);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 fn error_response(status: StatusCode, reason: &str) -> Response<Full<Bytes>> {
     let body = serde_json::json!({ "error": reason }).to_string();
     let mut response = Response::new(Full::new(Bytes::from(body)));
--- a/crates/thornbridge-node/src/gateway/callers/tests.rs
+++ b/crates/thornbridge-node/src/gateway/callers/tests.rs
@@ -3,6 +3,7 @@
 use super::super::driver::GatewayInput;
 use super::super::headers::HeaderNames;
 use super::{CallerContext, listen};
+use crate::caller_table::{CallerTable, TableLimits};
 use assert_matches::assert_matches;
 use hyper::header::HeaderName;
 use std::net::SocketAddr;
@@ -42,7 +43,10 @@
         closing: AtomicBool::new(false),
         shutdown: CancellationToken::new(),
         reception_end: CancellationToken::new(),
-        open_connections: AtomicUsize::new(0),
+        table: CallerTable::new(TableLimits {
+            request_bytes: 1024 * 1024,
+            answer_bytes: 1024 * 1024,
+        }),
         requests_in_reception: AtomicUsize::new(0),
         max_connections: 8,
         next_caller_id: AtomicU64::new(1),
--- a/crates/thornbridge-node/src/gateway/planned_stop.rs
+++ b/crates/thornbridge-node/src/gateway/planned_stop.rs
@@ -69,9 +69,7 @@
     /// Waits until callers have no connection and the core no request. A connection stays open while
     /// a request is received on it, handled, or answered.
     async fn drained(&self) {
-        while self.caller_context.open_connections.load(Ordering::Relaxed) > 0
-            || self.in_flight() > 0
-        {
+        while self.caller_context.table.open() > 0 || self.in_flight() > 0 {
             tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
@@ -88,7 +86,7 @@
             elapsed_ms = started.elapsed().as_millis() as u64,
             in_flight = self.in_flight(),
             in_reception = callers.requests_in_reception.load(Ordering::Relaxed),
-            connections = callers.open_connections.load(Ordering::Relaxed);
+            connections = callers.table.open();
             "planned stop"
         );
     }
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -11,6 +11,7 @@
 use super::settings::{GatewaySettings, ReadSettings};
 use super::store::{StoreClient, StoreProtocol};
 use super::store_calls::StoreCalls;
+use crate::caller_table::{CallerTable, TableLimits};
 use crate::input;
 use crate::peers::{PeerParameters, Peers};
 use snafu::{ResultExt, Snafu};
@@ -33,6 +34,10 @@
 const PEER_QUEUE_CAPACITY: usize = 1_024;
 /// Maximum number of connections waiting to be accepted, for each listener.
 const LISTEN_BACKLOG: u32 = 1_024;
+/// Parts of the process's memory, of which callers' requests may hold one.
+const REQUEST_PARTS: usize = 4;
+/// Parts of the process's memory, of which answers that callers have not read yet may hold one.
+const ANSWER_PARTS: usize = 8;
 /// Interval between reads of the settings file.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -243,7 +248,7 @@
             closing: AtomicBool::new(false),
             shutdown: CancellationToken::new(),
             reception_end: CancellationToken::new(),
-            open_connections: AtomicUsize::new(0),
+            table: CallerTable::new(caller_limits(settings.memory_bytes)),
             requests_in_reception: AtomicUsize::new(0),
             max_connections: settings.max_caller_connections,
             next_caller_id: AtomicU64::new(1),
@@ -337,6 +342,14 @@
     })
 }
 
+/// Parts of the process's memory that callers may hold.
+fn caller_limits(memory_bytes: usize) -> TableLimits {
+    TableLimits {
+        request_bytes: memory_bytes / REQUEST_PARTS,
+        answer_bytes: memory_bytes / ANSWER_PARTS,
+    }
+}
+
 /// Short timeouts: budgets depend on the prompt detection of lost peers.
 fn peer_parameters() -> PeerParameters {
     PeerParameters {
--- a/crates/thornbridge-node/src/gateway/reception.rs
+++ b/crates/thornbridge-node/src/gateway/reception.rs
@@ -1,8 +1,9 @@
 //! Reception of callers' requests: their bodies, and how many are being received.
 
 use super::callers::RejectedRequest;
+use crate::caller_table::{Account, Evicted, RequestBody};
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -27,31 +28,44 @@
     }
 }
 
-/// Reads a body of at most `limit` bytes, unless reception ends before.
+/// Reads a body of at most `limit` bytes, unless the caller is evicted or reception ends before.
 pub(super) async fn read_body(
     body: Incoming,
     limit: usize,
+    account: &Account,
     reception_end: &CancellationToken,
 ) -> Result<Bytes, RejectedRequest> {
+    let reading = tokio::time::timeout(BODY_TIMEOUT, read_limited(body, limit, account));
     tokio::select! {
         biased;
-        body = read_limited(body, limit) => body,
+        () = account.evicted() => Err(RejectedRequest::Overloaded),
+        read = reading => read.unwrap_or(Err(RejectedRequest::BodyTimedOut)),
         () = reception_end.cancelled() => Err(RejectedRequest::Stopping),
     }
 }
 
-async fn read_limited(body: Incoming, limit: usize) -> Result<Bytes, RejectedRequest> {
+async fn read_limited(
+    mut body: Incoming,
+    limit: usize,
+    account: &Account,
+) -> Result<Bytes, RejectedRequest> {
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
     if body.size_hint().lower() > limit as u64 {
         return Err(RejectedRequest::BodyTooLarge);
     }
-    let collecting = Limited::new(body, limit).collect();
-    match tokio::time::timeout(BODY_TIMEOUT, collecting).await {
-        Err(_) => Err(RejectedRequest::BodyTimedOut),
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RejectedRequest::BodyTooLarge),
-        Ok(Err(_)) => Err(RejectedRequest::BodyIncomplete),
+    let mut received = RequestBody::new(account, limit);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| RejectedRequest::BodyIncomplete)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if received.len() + data.len() > limit {
+            return Err(RejectedRequest::BodyTooLarge);
+        }
+        let pushed = received.push(data).await;
+        pushed.map_err(|Evicted| RejectedRequest::Overloaded)?;
     }
+    Ok(received.finish())
 }
--- a/crates/thornbridge-node/src/lib.rs
+++ b/crates/thornbridge-node/src/lib.rs
@@ -9,6 +9,7 @@
 //! demonstration; [`PlatformClient`] is the platform's HTTP interface, also for the command line.
 
 mod back_ends;
+mod caller_table;
 mod callers;
 mod clock;
 mod driver;
