Gateways: callers that hold connections make room for others

Cause: the limit on connections turned newcomers away and never those who held the places. A place cost nothing to hold and had no price in memory either: as many as descriptors allow, whatever heads may hold. Ruled out: shorter timeouts (the operator's, and the crowd comes back); a limit for each address (callers come through the platform's ingress). Change: a newcomer waits for a place, and one account is evicted for it, by the same rule as for bytes. The number of places is also bounded by an eighth of the memory, at 16 KiB and two heads each.

--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -44,6 +44,10 @@
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Reason of a rejection where the process holds all that it may.
 const OVERLOADED: &str = "overloaded";
+/// Memory of an open connection beside its heads: task, write buffer, and what is held without a reservation.
+const CONNECTION_BYTES: usize = 16 * 1024;
+/// Heads that a connection holds: of the request that waits for its answer, and in its read buffer.
+const HEADS_PER_CONNECTION: usize = 2;
 /// Minimum buffer size that hyper accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
@@ -66,11 +70,28 @@
     /// Requests whose head was read and that the driver does not know yet.
     pub(super) requests_in_reception: AtomicUsize,
     pub(super) max_connections: usize,
+    /// Memory for connections: buffers, heads, tasks.
+    pub(super) connections_memory_bytes: usize,
     pub(super) next_caller_id: AtomicU64,
     pub(super) answer_delays: Arc<AnswerDelays>,
 }
 
-/// Accepts connections until shutdown. Closes new ones at once when the limit is reached.
+impl CallerContext {
+    /// Connections that may be open, by descriptors and by memory.
+    fn connection_limit(&self) -> usize {
+        let head_bytes = self.head_buffer_bytes();
+        let connection_bytes = CONNECTION_BYTES + HEADS_PER_CONNECTION * head_bytes;
+        let by_memory = self.connections_memory_bytes / connection_bytes;
+        self.max_connections.min(by_memory).max(1)
+    }
+
+    /// Size of a connection's read buffer, which holds a whole head.
+    fn head_buffer_bytes(&self) -> usize {
+        self.limits.borrow().head_bytes.max(MIN_BUFFER_BYTES)
+    }
+}
+
+/// Accepts connections until shutdown. When the limit is reached, others are closed for new ones.
 pub(super) async fn listen(context: Arc<CallerContext>, listener: TcpListener) {
     loop {
         let accepted = tokio::select! {
@@ -79,10 +100,10 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                if context.table.open() >= context.max_connections {
-                    continue;
-                }
-                let account = context.table.admit(context.max_connections).await;
+                let account = tokio::select! {
+                    () = context.shutdown.cancelled() => return,
+                    account = context.table.admit(context.connection_limit()) => account,
+                };
                 let context = Arc::clone(&context);
                 tokio::spawn(async move {
                     serve_connection(&context, stream, &Arc::new(account)).await;
@@ -100,7 +121,6 @@
     sockets::prepare(&stream, TCP_USER_TIMEOUT);
     let activity = Activity::new();
     let stream = ObservedStream::new(stream, Arc::clone(&activity));
-    let head_bytes = context.limits.borrow().head_bytes.max(MIN_BUFFER_BYTES);
     let service = service_fn(|request| {
         let context = Arc::clone(context);
         let activity = Arc::clone(&activity);
@@ -110,7 +130,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size(head_bytes)
+        .max_buf_size(context.head_buffer_bytes())
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut timeout_check = tokio::time::interval(TIMEOUT_CHECK_INTERVAL);
--- a/crates/thornbridge-node/src/gateway/callers/tests.rs
+++ b/crates/thornbridge-node/src/gateway/callers/tests.rs
@@ -49,6 +49,7 @@
         }),
         requests_in_reception: AtomicUsize::new(0),
         max_connections: 8,
+        connections_memory_bytes: 1024 * 1024,
         next_caller_id: AtomicU64::new(1),
         answer_delays: Arc::default(),
     };
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -38,6 +38,8 @@
 const REQUEST_PARTS: usize = 4;
 /// Parts of the process's memory, of which answers that callers have not read yet may hold one.
 const ANSWER_PARTS: usize = 8;
+/// Parts of the process's memory, of which connections of callers may hold one.
+const CONNECTION_PARTS: usize = 8;
 /// Interval between reads of the settings file.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -251,6 +253,7 @@
             table: CallerTable::new(caller_limits(settings.memory_bytes)),
             requests_in_reception: AtomicUsize::new(0),
             max_connections: settings.max_caller_connections,
+            connections_memory_bytes: settings.memory_bytes / CONNECTION_PARTS,
             next_caller_id: AtomicU64::new(1),
             answer_delays: Arc::clone(&answer_delays),
         });
