Gateways: answers that callers do not read hold an eighth of the memory together

Cause: the body of a server's response was counted while it was received only; from then until the caller had read it nothing bounded the sum. Change: a body keeps its share of the servers' quarter until nothing refers to it; complete ones are not candidates to be given up. An answer is counted in its caller's account until it is written, and callers that leave theirs unread the longest are evicted beyond an eighth of the memory.

--- a/crates/thornbridge-node/src/gateway/body_memory.rs
+++ b/crates/thornbridge-node/src/gateway/body_memory.rs
@@ -1,9 +1,10 @@
-//! Memory for the bodies of servers' responses while they are received.
+//! Memory for the bodies of servers' responses, for as long as anything refers to them.
 //!
 //! A body has a limit of its own, but many bodies at once may hold more than the process has. When
-//! their sum exceeds the limit, the largest body is given up: a body that never ends outgrows the
-//! others, and a body is kept if it is smaller than the limit divided by their number.
+//! their sum exceeds the limit, the largest body that is still received is given up: a body that never
+//! ends outgrows the others, and a body is kept if it is smaller than the limit divided by their number.
 
+use bytes::Bytes;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio_util::sync::CancellationToken;
@@ -11,11 +12,11 @@
 #[cfg(test)]
 mod tests;
 
-/// Parts of a process's memory, of which bodies may hold one. The others hold answers until callers have
-/// read them, buffers of connections, and what the gateway knows.
+/// Parts of a process's memory, of which bodies may hold one. The others hold what callers send, buffers
+/// of connections, and what the gateway knows.
 const PROCESS_PARTS: usize = 4;
 
-/// Memory for bodies that are being received.
+/// Memory for bodies.
 #[derive(Debug)]
 pub(super) struct BodyMemory {
     limit_bytes: usize,
@@ -32,9 +33,22 @@
 #[derive(Debug)]
 struct HeldBody {
     bytes: usize,
+    is_complete: bool,
     given_up: CancellationToken,
 }
 
+/// A body with the share that is released when nothing refers to it any more.
+struct ReservedBody {
+    body: Bytes,
+    _reservation: BodyReservation,
+}
+
+impl AsRef<[u8]> for ReservedBody {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 /// Share of a [`BodyMemory`] that one body holds; released when dropped.
 #[derive(Debug)]
 pub(super) struct BodyReservation {
@@ -65,6 +79,7 @@
         state.next_key += 1;
         let body = HeldBody {
             bytes: 0,
+            is_complete: false,
             given_up: given_up.clone(),
         };
         state.bodies.insert(key, body);
@@ -87,8 +102,10 @@
         Some(body)
     }
 
+    /// The largest body that can be given up.
     fn largest(&self) -> Option<u64> {
-        let largest = self.bodies.iter().max_by_key(|(_, body)| body.bytes);
+        let received = self.bodies.iter().filter(|(_, body)| !body.is_complete);
+        let largest = received.max_by_key(|(_, body)| body.bytes);
         largest.map(|(key, _)| *key)
     }
 }
@@ -111,6 +128,17 @@
         }
     }
 
+    /// The complete body, which holds its share as long as anything refers to it.
+    pub(super) fn hold(self, body: Bytes) -> Bytes {
+        if let Some(held) = self.memory.lock().bodies.get_mut(&self.key) {
+            held.is_complete = true;
+        }
+        Bytes::from_owner(ReservedBody {
+            body,
+            _reservation: self,
+        })
+    }
+
     /// Waits until this body is given up.
     pub(super) async fn given_up(&self) {
         self.given_up.cancelled().await;
--- a/crates/thornbridge-node/src/gateway/body_memory/tests.rs
+++ b/crates/thornbridge-node/src/gateway/body_memory/tests.rs
@@ -1,4 +1,5 @@
 use super::{BodyMemory, BodyReservation};
+use bytes::Bytes;
 use std::sync::Arc;
 
 fn is_given_up(body: &BodyReservation) -> bool {
@@ -43,3 +44,18 @@
     assert_eq!(memory.lock().used_bytes, 0);
     assert!(memory.lock().bodies.is_empty());
 }
+
+/// Complete bodies stay counted and are not given up, since nobody receives them any more.
+#[test]
+fn complete_bodies_are_counted_until_they_are_dropped() {
+    let memory = Arc::new(BodyMemory::new(100));
+    let complete = memory.reserve();
+    complete.grow(80);
+    let complete = complete.hold(Bytes::from("body"));
+    let received = memory.reserve();
+    received.grow(30);
+    assert!(is_given_up(&received));
+    assert_eq!(memory.lock().used_bytes, 80);
+    drop(complete);
+    assert_eq!(memory.lock().used_bytes, 0);
+}
--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -6,7 +6,7 @@
 use super::headers::{HeaderNames, number_value, strip_hop_by_hop};
 use super::observed_stream::ObservedStream;
 use super::reception::{self, Reception};
-use crate::caller_table::{Account, CallerTable, Phase};
+use crate::caller_table::{Account, CallerTable, Evicted, Phase, Pool};
 use crate::sockets;
 use crate::unanswered::{OutcomeUnknown, Unanswered};
 use bytes::Bytes;
@@ -46,6 +46,8 @@
 const OVERLOADED: &str = "overloaded";
 /// Memory of an open connection beside its heads: task, write buffer, and what is held without a reservation.
 const CONNECTION_BYTES: usize = 16 * 1024;
+/// Length up to which an answer is not counted: part of what each connection may hold.
+const UNCOUNTED_ANSWER_BYTES: usize = 4 * 1024;
 /// Heads that a connection holds: of the request that waits for its answer, and in its read buffer.
 const HEADS_PER_CONNECTION: usize = 2;
 /// Minimum buffer size that hyper accepts.
@@ -171,7 +173,10 @@
     let submitted = submit(context, account, request, first_on_connection).await;
     account.set_phase(Phase::AwaitingCaller);
     let mut response = match submitted {
-        Ok(answer) => answer_response(&context.names, answer),
+        Ok(answer) => {
+            let response = answer_response(&context.names, answer);
+            counted_answer(account, response).await
+        }
         Err(RequestError::Rejected(rejection)) => rejection.response(),
         Err(RequestError::Evicted) => closing_response(StatusCode::BAD_GATEWAY, OVERLOADED),
         Err(RequestError::Unanswered(Unanswered::NotAccepted)) => {
@@ -187,6 +192,18 @@
     Ok(response)
 }
 
+/// Counts an answer until it is written to its connection, once there is room for it.
+async fn counted_answer(account: &Account, response: Response<Bytes>) -> Response<Full<Bytes>> {
+    if response.body().len() <= UNCOUNTED_ANSWER_BYTES {
+        return response.map(Full::new);
+    }
+    let reserving = account.reserve(Pool::Answers, response.body().len());
+    match reserving.await {
+        Ok(reservation) => response.map(|body| Full::new(reservation.hold(body))),
+        Err(Evicted) => closing_response(StatusCode::BAD_GATEWAY, OVERLOADED),
+    }
+}
+
 /// Why a request was rejected before it reached the driver.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum RejectedRequest {
@@ -346,14 +363,14 @@
     name.to_ascii_lowercase()
 }
 
-fn answer_response(names: &HeaderNames, answer: GatewayAnswer) -> Response<Full<Bytes>> {
+fn answer_response(names: &HeaderNames, answer: GatewayAnswer) -> Response<Bytes> {
     match answer {
         GatewayAnswer::Forwarded {
             status,
             headers,
             body,
         } => {
-            let mut response = Response::new(Full::new(body));
+            let mut response = Response::new(body);
             *response.status_mut() =
                 StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
             *response.headers_mut() = headers;
@@ -377,8 +394,8 @@
     signatures: &[Bytes],
     missing: usize,
     records: Bytes,
-) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(records));
+) -> Response<Bytes> {
+    let mut response = Response::new(records);
     let headers = response.headers_mut();
     let octet_stream = HeaderValue::from_static("application/octet-stream");
     headers.insert(CONTENT_TYPE, octet_stream);
@@ -393,7 +410,7 @@
     reason: RefusalReason,
     refusal_status: RefusalStatus,
     retry_after: Option<Duration>,
-) -> Response<Full<Bytes>> {
+) -> Response<Bytes> {
     let status = match refusal_status {
         RefusalStatus::NotRun => StatusCode::SERVICE_UNAVAILABLE,
         RefusalStatus::MayHaveRun => StatusCode::BAD_GATEWAY,
@@ -414,12 +431,12 @@
     let mut response = error_response(status, reason);
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(CONNECTION, close);
-    response
+    response.map(Full::new)
 }
 
-fn error_response(status: StatusCode, reason: &str) -> Response<Full<Bytes>> {
+fn error_response(status: StatusCode, reason: &str) -> Response<Bytes> {
     let body = serde_json::json!({ "error": reason }).to_string();
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(Bytes::from(body));
     *response.status_mut() = status;
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(CONTENT_TYPE, json);
--- a/crates/thornbridge-node/src/gateway/reply_body.rs
+++ b/crates/thornbridge-node/src/gateway/reply_body.rs
@@ -43,7 +43,7 @@
             break;
         }
     }
-    Ok(partial.joined.finish())
+    Ok(partial.finish())
 }
 
 impl PartialBody {
@@ -63,6 +63,14 @@
         frame.transpose().map_err(|_| ExchangeFailure::MayHaveRun)
     }
 
+    fn finish(self) -> Bytes {
+        let body = self.joined.finish();
+        match self.reservation {
+            Some(reservation) => reservation.hold(body),
+            None => body,
+        }
+    }
+
     fn push(&mut self, data: Bytes, memory: &Arc<BodyMemory>) {
         let held_before = self.joined.held_bytes();
         self.joined.push(data);
