Gateways: what the system holds for callers' connections is bounded

Cause: buffers of sockets grow by themselves; nothing set their sizes. Change: an eighth of the memory is shared out when a connection is accepted: a least share for as many connections as may be open, and a part of what is left, so that few connections have buffers of 64 KiB. Before that a listener's connections have 16 KiB.

--- a/crates/thornbridge-node/src/caller_table/account.rs
+++ b/crates/thornbridge-node/src/caller_table/account.rs
@@ -14,6 +14,7 @@
 pub(crate) struct Account {
     table: Arc<CallerTable>,
     key: u64,
+    buffer_bytes: usize,
     evicted: CancellationToken,
 }
 
@@ -39,15 +40,25 @@
 }
 
 impl Account {
-    pub(super) fn new(table: Arc<CallerTable>, key: u64) -> Self {
-        let evicted = table.evicted(key).unwrap_or_default();
+    pub(super) fn new(
+        table: Arc<CallerTable>,
+        key: u64,
+        buffer_bytes: usize,
+        evicted: CancellationToken,
+    ) -> Self {
         Self {
             table,
             key,
+            buffer_bytes,
             evicted,
         }
     }
 
+    /// Size to set for each of the system's buffers of the connection.
+    pub(crate) fn socket_buffer_bytes(&self) -> usize {
+        self.buffer_bytes
+    }
+
     /// Records who the connection waits for from now on.
     pub(crate) fn set_phase(&self, phase: Phase) {
         self.table.set_phase(self.key, phase);
--- a/crates/thornbridge-node/src/caller_table/mod.rs
+++ b/crates/thornbridge-node/src/caller_table/mod.rs
@@ -9,6 +9,7 @@
 mod account;
 mod eviction;
 mod request_body;
+mod socket_buffers;
 #[cfg(test)]
 mod tests;
 
@@ -16,6 +17,7 @@
 pub(crate) use request_body::RequestBody;
 
 use eviction::choose_victim;
+use socket_buffers::{BufferShare, SocketBuffers};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
@@ -50,6 +52,8 @@
     pub(crate) request_bytes: usize,
     /// Bytes of answers.
     pub(crate) answer_bytes: usize,
+    /// Bytes that the system holds for connections.
+    pub(crate) socket_buffer_bytes: usize,
 }
 
 impl TableLimits {
@@ -70,7 +74,7 @@
     changed: Notify,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     accounts: HashMap<u64, Entry>,
     next_key: u64,
@@ -81,6 +85,7 @@
     held: [usize; POOLS],
     /// Bytes by pool of accounts that will release them.
     releasing: [usize; POOLS],
+    buffers: SocketBuffers,
     evictions: u64,
 }
 
@@ -92,6 +97,7 @@
     /// Evicted or closed: what it holds is on its way out.
     is_releasing: bool,
     held: [usize; POOLS],
+    buffer_share: BufferShare,
     evicted: CancellationToken,
 }
 
@@ -109,7 +115,7 @@
     pub(crate) fn new(limits: TableLimits) -> Arc<Self> {
         Arc::new(Self {
             limits,
-            state: Mutex::default(),
+            state: Mutex::new(State::new(limits)),
             changed: Notify::new(),
         })
     }
@@ -121,8 +127,9 @@
             tokio::pin!(changed);
             // Changes count from before the look at the state.
             changed.as_mut().enable();
-            if let Some(key) = self.try_admit(max_connections) {
-                return Account::new(Arc::clone(self), key);
+            let opened = self.try_admit(max_connections);
+            if let Some(account) = opened.and_then(|key| self.account(key)) {
+                return account;
             }
             changed.await;
         }
@@ -146,7 +153,7 @@
     fn try_admit(&self, max_connections: usize) -> Option<u64> {
         let mut state = self.lock();
         if state.open < max_connections {
-            return Some(state.open_account());
+            return Some(state.open_account(max_connections));
         }
         let excess = state.open + 1 - max_connections;
         while state.closing < excess {
@@ -217,12 +224,14 @@
 
     fn close(&self, key: u64) {
         let mut state = self.lock();
+        let state = &mut *state;
         // What is still referred to, by a request at a server, is released soon.
         state.release_soon(key);
         state.open -= 1;
         state.closing -= 1;
         if let Some(entry) = state.accounts.get_mut(&key) {
             entry.is_open = false;
+            state.buffers.put_back(entry.buffer_share);
         }
         state.remove_if_ended(key);
         self.changed.notify_waiters();
@@ -235,9 +244,13 @@
         }
     }
 
-    fn evicted(&self, key: u64) -> Option<CancellationToken> {
+    /// The account that was just opened.
+    fn account(self: &Arc<Self>, key: u64) -> Option<Account> {
         let state = self.lock();
-        state.accounts.get(&key).map(|entry| entry.evicted.clone())
+        let entry = state.accounts.get(&key)?;
+        let buffer_bytes = entry.buffer_share.buffer_bytes();
+        let evicted = entry.evicted.clone();
+        Some(Account::new(Arc::clone(self), key, buffer_bytes, evicted))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -246,7 +259,20 @@
 }
 
 impl State {
-    fn open_account(&mut self) -> u64 {
+    fn new(limits: TableLimits) -> Self {
+        Self {
+            accounts: HashMap::new(),
+            next_key: 0,
+            open: 0,
+            closing: 0,
+            held: [0; POOLS],
+            releasing: [0; POOLS],
+            buffers: SocketBuffers::new(limits.socket_buffer_bytes),
+            evictions: 0,
+        }
+    }
+
+    fn open_account(&mut self, max_connections: usize) -> u64 {
         let key = self.next_key;
         self.next_key += 1;
         self.open += 1;
@@ -256,6 +282,7 @@
             is_open: true,
             is_releasing: false,
             held: [0; POOLS],
+            buffer_share: self.buffers.take(max_connections),
             evicted: CancellationToken::new(),
         };
         self.accounts.insert(key, entry);
--- a/crates/thornbridge-node/src/caller_table/tests.rs
+++ b/crates/thornbridge-node/src/caller_table/tests.rs
@@ -8,6 +8,7 @@
 const LIMITS: TableLimits = TableLimits {
     request_bytes: 100_000,
     answer_bytes: 50_000,
+    socket_buffer_bytes: 100_000,
 };
 /// More than any test opens.
 const MANY: usize = 1_000;
@@ -110,6 +111,27 @@
     assert_eq!(table.evictions(), 1);
 }
 
+/// Few connections have large buffers, and as many as may be open stay within the limit together.
+#[tokio::test]
+async fn socket_buffers_stay_within_the_limit() {
+    let table = CallerTable::new(TableLimits {
+        socket_buffer_bytes: 1_000_000,
+        ..LIMITS
+    });
+    let mut accounts = Vec::new();
+    for _ in 0..100 {
+        accounts.push(table.admit(100).now_or_never().expect("a place"));
+    }
+    let sizes: Vec<usize> = accounts.iter().map(Account::socket_buffer_bytes).collect();
+    assert!(sizes[0] > 5 * sizes[99]);
+    // Two buffers, of which the system makes up to twice the size.
+    assert!(sizes.iter().sum::<usize>() * 4 <= 1_000_000);
+    let first = sizes[0];
+    accounts.clear();
+    let account = table.admit(100).now_or_never().expect("a place");
+    assert_eq!(account.socket_buffer_bytes(), first);
+}
+
 /// Guards against buffers of pieces that hold many times the body.
 #[tokio::test]
 async fn body_in_small_pieces_holds_about_its_length() {
--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -121,6 +121,7 @@
 
 async fn serve_connection(context: &Arc<CallerContext>, stream: TcpStream, account: &Arc<Account>) {
     sockets::prepare(&stream, TCP_USER_TIMEOUT);
+    sockets::limit_buffers(&stream, account.socket_buffer_bytes());
     let activity = Activity::new();
     let stream = ObservedStream::new(stream, Arc::clone(&activity));
     let service = service_fn(|request| {
--- a/crates/thornbridge-node/src/gateway/callers/tests.rs
+++ b/crates/thornbridge-node/src/gateway/callers/tests.rs
@@ -46,6 +46,7 @@
         table: CallerTable::new(TableLimits {
             request_bytes: 1024 * 1024,
             answer_bytes: 1024 * 1024,
+            socket_buffer_bytes: 1024 * 1024,
         }),
         requests_in_reception: AtomicUsize::new(0),
         max_connections: 8,
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -38,8 +38,14 @@
 const REQUEST_PARTS: usize = 4;
 /// Parts of the process's memory, of which answers that callers have not read yet may hold one.
 const ANSWER_PARTS: usize = 8;
+/// Parts of the process's memory, of which the system may hold one for connections of callers.
+const SOCKET_BUFFER_PARTS: usize = 8;
 /// Parts of the process's memory, of which connections of callers may hold one.
 const CONNECTION_PARTS: usize = 8;
+/// Side of the listener for callers.
+const CALLERS: &str = "callers";
+/// Receive buffer of connections that wait to be accepted.
+const BACKLOG_BUFFER_BYTES: u32 = 16 * 1_024;
 /// Interval between reads of the settings file.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -174,7 +180,7 @@
     pub fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
         let metrics = settings.metrics_address;
         Ok(Self {
-            callers: listen("callers", settings.caller_address)?,
+            callers: listen(CALLERS, settings.caller_address)?,
             readiness: listen("readiness", settings.readiness_address)?,
             peers: listen("peers", settings.peer_address)?,
             metrics: metrics
@@ -187,7 +193,7 @@
     pub fn bind_loopback() -> Result<Self, GatewayError> {
         let any_port = SocketAddr::from((std::net::Ipv4Addr::LOCALHOST, 0));
         Ok(Self {
-            callers: listen("callers", any_port)?,
+            callers: listen(CALLERS, any_port)?,
             readiness: listen("readiness", any_port)?,
             peers: listen("peers", any_port)?,
             metrics: Some(listen("metrics", any_port)?),
@@ -202,6 +208,10 @@
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
         };
         socket.set_reuseaddr(true)?;
+        if side == CALLERS {
+            // Where the system refuses the size the listener works without.
+            let _ = socket.set_recv_buffer_size(BACKLOG_BUFFER_BYTES);
+        }
         socket.bind(address)?;
         socket.listen(LISTEN_BACKLOG)
     };
@@ -350,6 +360,7 @@
     TableLimits {
         request_bytes: memory_bytes / REQUEST_PARTS,
         answer_bytes: memory_bytes / ANSWER_PARTS,
+        socket_buffer_bytes: memory_bytes / SOCKET_BUFFER_PARTS,
     }
 }
 
--- a/crates/thornbridge-node/src/sockets.rs
+++ b/crates/thornbridge-node/src/sockets.rs
@@ -9,6 +9,14 @@
 /// Time between tries that are not answered.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 
+/// Sets the sizes of a connection's buffers in the system, in place of ones that grow with the load. Where
+/// the system refuses them the connection works without.
+pub(crate) fn limit_buffers(stream: &TcpStream, bytes: usize) {
+    let socket = SockRef::from(stream);
+    let _ = socket.set_recv_buffer_size(bytes);
+    let _ = socket.set_send_buffer_size(bytes);
+}
+
 /// Prepares a connection: no delay for small writes, a limit on the time that sent bytes may
 /// stay unacknowledged or untaken, and tries of an idle one, so that a machine that vanished
 /// without a word is noticed. Where the system refuses an option the connection works without.
