Gateways: late requests give way when as many are in flight as a node takes

Cause: the limit on requests in flight turned newcomers away, whatever the others had waited. Ruled out: a share of places for each route (a crowd may use all routes); giving up the oldest in any case (in a short burst the oldest is the one that is answered next). Change: at the limit the caller's request that is late for the longest gives way; its answer says whether it may have run. Where none is late, newcomers are refused at once as before. New tests in virtual time: newcomers are refused while no request is late, late ones go one by one, and their refusals are true.

--- a/crates/thornbridge-core/src/gateway/exchange/answering.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/answering.rs
@@ -106,8 +106,13 @@
     (now >= request.deadline).then(|| refusal(parameters, request, RefusalReason::TimedOut))
 }
 
-/// Answer of a node that stops: the parts that are in, a failure that a server answered, or a refusal.
-pub(super) fn answer_of_stopping_node(request: &Request) -> GatewayAnswer {
+/// Answer to a request that is given up for a reason of this node: the parts that are in, a failure that a
+/// server answered, or a refusal.
+pub(super) fn answer_given_up(
+    request: &Request,
+    reason: RefusalReason,
+    retry_after: Duration,
+) -> GatewayAnswer {
     let progress = request.progress();
     if let ResolvedTarget::Gather(gather) = &request.route.target {
         if progress.answered >= gather.min_parts {
@@ -122,10 +127,10 @@
     }
     let (status, retry_after) = match request.may_have_run() {
         true => (RefusalStatus::MayHaveRun, None),
-        false => (RefusalStatus::NotRun, Some(Duration::ZERO)),
+        false => (RefusalStatus::NotRun, Some(retry_after)),
     };
     GatewayAnswer::Refused {
-        reason: RefusalReason::Stopping,
+        reason,
         status,
         retry_after,
     }
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -13,6 +13,7 @@
 mod attempt_timeout;
 mod attempts;
 mod avoidance;
+mod crowding;
 mod delay;
 mod dispatching;
 mod hedging;
@@ -145,7 +146,7 @@
         arrived: Timestamp,
     ) {
         let retry_after = self.parameters.retry_after;
-        if self.requests.len() >= self.parameters.requests_maximum {
+        if !self.make_room(context) {
             let reason = RefusalReason::Overloaded;
             self.refuse_unstarted(context, caller, &head, &route, reason, retry_after);
             return;
@@ -290,7 +291,8 @@
                 continue;
             };
             self.schedule.remove(&(request.check_at, caller));
-            let answer = answering::answer_of_stopping_node(&request);
+            let reason = RefusalReason::Stopping;
+            let answer = answering::answer_given_up(&request, reason, Duration::ZERO);
             self.finish(context, request, answer);
         }
     }
--- a/crates/thornbridge-core/src/gateway/tests/mod.rs
+++ b/crates/thornbridge-core/src/gateway/tests/mod.rs
@@ -6,6 +6,7 @@
 mod cold;
 mod cold_shares;
 mod companions;
+mod crowding;
 mod dead_connections;
 mod delays;
 mod displaced;
