Gateways: large requests are not relayed to owners of slices

Cause, found by reading: a divided gather sends a copy of the caller's request to each owner of a slice. The copies, up to a body of the largest size each, wait in the queues of links here and at the owners, and were counted nowhere: a bound on bodies would have moved callers to gathers. Change: requests of more than 4 KiB are served by the node that received them, by the path of tasks that cannot be sent; with 400 requests in flight an owner holds 1.6 MB at most. Not measured on processes; unit test of the rule.

--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -377,12 +377,16 @@
         let Some(pending) = self.pending.get_mut(&caller) else {
             return;
         };
+        let (owner, slice) = (to, task.slice);
+        let not_sent = GatewayEvent::TaskNotSent { owner, slice };
+        if !pending.is_relayable() {
+            self.follow_up.push(not_sent);
+            return;
+        }
         let request = match pending.encode_for_relay() {
             Ok(request) => request,
             Err(error) => {
                 log::warn!(owner:% = to, error:% = error; "cannot encode request for slice owner");
-                let (owner, slice) = (to, task.slice);
-                let not_sent = GatewayEvent::TaskNotSent { owner, slice };
                 self.follow_up.push(not_sent);
                 return;
             }
--- a/crates/thornbridge-node/src/gateway/pending.rs
+++ b/crates/thornbridge-node/src/gateway/pending.rs
@@ -46,6 +46,11 @@
         Ok(Self::new(parts, body, sent_length, None))
     }
 
+    /// Whether the request may be sent to other nodes.
+    pub(super) fn is_relayable(&self) -> bool {
+        relaying::is_relayable(&self.parts, &self.body)
+    }
+
     /// Encodes the request for other nodes, on the first call only.
     pub(super) fn encode_for_relay(&mut self) -> Result<SharedBytes, FrameError> {
         if let Some(encoded) = &self.encoded {
--- a/crates/thornbridge-node/src/gateway/relaying.rs
+++ b/crates/thornbridge-node/src/gateway/relaying.rs
@@ -12,6 +12,10 @@
 use thornbridge_proto::frame::{self, FrameError};
 use thornbridge_proto::peer::slice::RelayedRequest;
 
+/// Largest request that is relayed. Each owner of a slice gets a copy, which waits for its link here and for
+/// its servers there; a larger request is served by the node that received it.
+const MAX_RELAYED_BYTES: usize = 4 * 1024;
+
 /// Error of decoding a relayed request.
 #[derive(Debug, Snafu)]
 pub(super) enum RelayError {
@@ -36,6 +40,15 @@
     pub(super) sent_length: bool,
 }
 
+/// Whether a request is small enough to be relayed.
+pub(super) fn is_relayable(parts: &Parts, body: &Bytes) -> bool {
+    let target = parts.uri.path_and_query();
+    let target_bytes = target.map_or(0, |target| target.as_str().len());
+    let headers = parts.headers.iter();
+    let header_bytes = headers.map(|(name, value)| name.as_str().len() + value.len());
+    target_bytes + header_bytes.sum::<usize>() + body.len() <= MAX_RELAYED_BYTES
+}
+
 /// Encodes a request for relaying to other nodes.
 pub(super) fn encode(
     parts: &Parts,
--- a/crates/thornbridge-node/src/gateway/relaying/tests.rs
+++ b/crates/thornbridge-node/src/gateway/relaying/tests.rs
@@ -1,4 +1,4 @@
-use super::{decode, encode};
+use super::{MAX_RELAYED_BYTES, decode, encode, is_relayable};
 use bytes::Bytes;
 use hyper::Request;
 use thornbridge_proto::byte_string::SharedBytes;
@@ -29,3 +29,17 @@
         assert!(decode(&SharedBytes::from(bytes.to_vec())).is_err());
     }
 }
+
+/// Guards against copies of large requests for each owner of a slice.
+#[test]
+fn large_requests_are_not_relayed() {
+    let request = |filler: usize| {
+        let request = Request::get("/x").header("x-filler", "y".repeat(filler));
+        let (parts, ()) = request.body(()).unwrap().into_parts();
+        parts
+    };
+    let body = |len: usize| Bytes::from(vec![b'x'; len]);
+    assert!(is_relayable(&request(100), &body(100)));
+    assert!(!is_relayable(&request(MAX_RELAYED_BYTES), &body(0)));
+    assert!(!is_relayable(&request(0), &body(MAX_RELAYED_BYTES)));
+}
