Answers whose status is that of no answer reach no caller

What callers met: a server's 101 reached them as an answer, without a body, and 600, 700 and 999 with the server's body, although no caller had asked for another protocol and HTTP knows classes 1 to 5 only. The reported 000 did not: it fails in the parser, as do 001, 099, four digits, signs and other versions. Cause: an answer was judged by its id, signature and encoding; its status was passed on whatever it was. Class: a field of a server's answer that is forwarded without a check of what it may be. Change: an answer with a status outside of the classes 2 to 5 is no answer, and its connection is closed. 101 is in class 1: the protocol is never switched. Looked for elsewhere: nodes compare a back end's status with its outcome; the store's adapter matches statuses.

--- a/crates/thornbridge-core/src/gateway/event.rs
+++ b/crates/thornbridge-core/src/gateway/event.rs
@@ -65,6 +65,8 @@
     OtherRequest,
     /// It carries no request id, and the connection may owe an answer to an earlier request.
     NoRequestId,
+    /// Its status is that of no answer (RFC 9110, section 15).
+    Status,
     /// Its body is encoded.
     Encoded,
     /// It carries no signature.
@@ -77,6 +79,7 @@
         match self {
             Self::OtherRequest => "other_request",
             Self::NoRequestId => "no_request_id",
+            Self::Status => "status",
             Self::Encoded => "encoded",
             Self::Unsigned => "unsigned",
         }
--- a/crates/thornbridge-node/src/gateway/server_reply.rs
+++ b/crates/thornbridge-node/src/gateway/server_reply.rs
@@ -82,6 +82,9 @@
 
 /// Classifies a response to the awaited request.
 fn classify(names: &HeaderNames, status: StatusCode, headers: &HeaderMap) -> ReplyVerdict {
+    if !is_of_answer(status) {
+        return ReplyVerdict::Invalid(InvalidReply::Status);
+    }
     if headers.contains_key(CONTENT_ENCODING) {
         return ReplyVerdict::Invalid(InvalidReply::Encoded);
     }
@@ -97,6 +100,14 @@
     ReplyVerdict::Answer
 }
 
+/// Whether a status is that of an answer. The protocol is never switched, so that 101 is none.
+fn is_of_answer(status: StatusCode) -> bool {
+    status.is_success()
+        || status.is_redirection()
+        || status.is_client_error()
+        || status.is_server_error()
+}
+
 fn signature_value(names: &HeaderNames, headers: &HeaderMap) -> Option<Bytes> {
     let value = headers.get(&names.signature)?;
     Some(Bytes::copy_from_slice(value.as_bytes()))
