--- a/crates/thornbridge-node/src/caller_table/mod.rs
+++ b/crates/thornbridge-node/src/caller_table/mod.rs
@@ -20,10 +20,12 @@
 use socket_buffers::{BufferShare, SocketBuffers};
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 
+/// Interval between log lines on evicted accounts.
+const LOG_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of [`Pool`]s.
 const POOLS: usize = 2;
 
@@ -68,6 +70,8 @@
 /// Connections of the callers of one listener.
 #[derive(Debug)]
 pub(crate) struct CallerTable {
+    /// Name of the listener, for the log.
+    side: &'static str,
     limits: TableLimits,
     state: Mutex<State>,
     /// Told when an account was evicted, closed or has released bytes.
@@ -87,6 +91,8 @@
     releasing: [usize; POOLS],
     buffers: SocketBuffers,
     evictions: u64,
+    /// Evictions and time at the last log line.
+    logged: Option<(u64, Instant)>,
 }
 
 #[derive(Debug)]
@@ -112,8 +118,9 @@
 
 impl CallerTable {
     /// An empty table.
-    pub(crate) fn new(limits: TableLimits) -> Arc<Self> {
+    pub(crate) fn new(side: &'static str, limits: TableLimits) -> Arc<Self> {
         Arc::new(Self {
+            side,
             limits,
             state: Mutex::new(State::new(limits)),
             changed: Notify::new(),
@@ -200,6 +207,7 @@
 
     fn evict(&self, state: &mut State, key: u64) {
         state.evictions += 1;
+        self.log_evictions(state);
         state.release_soon(key);
         if let Some(entry) = state.accounts.get(&key) {
             entry.evicted.cancel();
@@ -207,6 +215,23 @@
         self.changed.notify_waiters();
     }
 
+    /// Logs evictions, as many as there were since the last line.
+    fn log_evictions(&self, state: &mut State) {
+        let (logged, at) = state.logged.unzip();
+        if at.is_some_and(|at| at.elapsed() < LOG_INTERVAL) {
+            return;
+        }
+        log::warn!(
+            side = self.side,
+            evicted = state.evictions - logged.unwrap_or_default(),
+            connections = state.open,
+            request_bytes = state.held[Pool::Requests as usize],
+            answer_bytes = state.held[Pool::Answers as usize];
+            "callers evicted"
+        );
+        state.logged = Some((state.evictions, Instant::now()));
+    }
+
     fn release(&self, key: u64, pool: Pool, bytes: usize) {
         let mut state = self.lock();
         let state = &mut *state;
@@ -269,6 +294,7 @@
             releasing: [0; POOLS],
             buffers: SocketBuffers::new(limits.socket_buffer_bytes),
             evictions: 0,
+            logged: None,
         }
     }
 
--- a/crates/thornbridge-node/src/caller_table/tests.rs
+++ b/crates/thornbridge-node/src/caller_table/tests.rs
@@ -28,7 +28,7 @@
 
 #[tokio::test]
 async fn bytes_are_held_until_nothing_refers_to_them() {
-    let table = CallerTable::new(LIMITS);
+    let table = CallerTable::new("tests", LIMITS);
     let account = open(&table);
     let reservation = account.reserve(Pool::Requests, 10_000).await;
     let bytes = reservation.expect("room").hold(Bytes::from("body"));
@@ -43,7 +43,7 @@
 
 #[tokio::test]
 async fn longest_holder_gives_way_and_its_room_is_waited_for() {
-    let table = CallerTable::new(LIMITS);
+    let table = CallerTable::new("tests", LIMITS);
     let oldest = open(&table);
     let held = oldest.reserve(Pool::Requests, 60_000).await.expect("room");
     let newer = open(&table);
@@ -60,7 +60,7 @@
 
 #[tokio::test]
 async fn evicted_account_gets_no_more() {
-    let table = CallerTable::new(LIMITS);
+    let table = CallerTable::new("tests", LIMITS);
     let account = open(&table);
     let _held = account.reserve(Pool::Requests, 90_000).await.expect("room");
     let other = open(&table);
@@ -73,7 +73,7 @@
 /// A request within its own limits is served, however small the process's memory is.
 #[tokio::test]
 async fn single_account_may_exceed_the_limit() {
-    let table = CallerTable::new(LIMITS);
+    let table = CallerTable::new("tests", LIMITS);
     let account = open(&table);
     let mut held = account.reserve(Pool::Requests, 90_000).await.expect("room");
     assert!(held.grow(90_000).await.is_ok());
@@ -82,7 +82,7 @@
 
 #[tokio::test]
 async fn requests_that_wait_for_answers_go_last() {
-    let table = CallerTable::new(LIMITS);
+    let table = CallerTable::new("tests", LIMITS);
     let waiting = open(&table);
     let _waiting_body = waiting.reserve(Pool::Requests, 40_000).await.expect("room");
     waiting.set_phase(Phase::AwaitingAnswer);
@@ -97,7 +97,7 @@
 
 #[tokio::test]
 async fn place_is_freed_for_a_newcomer() {
-    let table = CallerTable::new(LIMITS);
+    let table = CallerTable::new("tests", LIMITS);
     let oldest = open(&table);
     let newer = open(&table);
     let mut admitting = Box::pin(table.admit(2));
@@ -114,10 +114,13 @@
 /// Few connections have large buffers, and as many as may be open stay within the limit together.
 #[tokio::test]
 async fn socket_buffers_stay_within_the_limit() {
-    let table = CallerTable::new(TableLimits {
-        socket_buffer_bytes: 1_000_000,
-        ..LIMITS
-    });
+    let table = CallerTable::new(
+        "tests",
+        TableLimits {
+            socket_buffer_bytes: 1_000_000,
+            ..LIMITS
+        },
+    );
     let mut accounts = Vec::new();
     for _ in 0..100 {
         accounts.push(table.admit(100).now_or_never().expect("a place"));
@@ -135,7 +138,7 @@
 /// Guards against buffers of pieces that hold many times the body.
 #[tokio::test]
 async fn body_in_small_pieces_holds_about_its_length() {
-    let table = CallerTable::new(LIMITS);
+    let table = CallerTable::new("tests", LIMITS);
     let account = open(&table);
     let mut body = RequestBody::new(&account, 60_000);
     for _ in 0..60_000 {
@@ -176,7 +179,7 @@
     /// that has to wait finds room once all evicted ones are closed.
     #[test]
     fn held_bytes_stay_within_the_limit(steps in prop::collection::vec(any_step(), 1..80)) {
-        let table = CallerTable::new(LIMITS);
+        let table = CallerTable::new("tests", LIMITS);
         let mut known: Vec<Known> = Vec::new();
         for step in steps {
             match step {
--- a/crates/thornbridge-node/src/gateway/callers/tests.rs
+++ b/crates/thornbridge-node/src/gateway/callers/tests.rs
@@ -43,11 +43,14 @@
         closing: AtomicBool::new(false),
         shutdown: CancellationToken::new(),
         reception_end: CancellationToken::new(),
-        table: CallerTable::new(TableLimits {
-            request_bytes: 1024 * 1024,
-            answer_bytes: 1024 * 1024,
-            socket_buffer_bytes: 1024 * 1024,
-        }),
+        table: CallerTable::new(
+            "callers",
+            TableLimits {
+                request_bytes: 1024 * 1024,
+                answer_bytes: 1024 * 1024,
+                socket_buffer_bytes: 1024 * 1024,
+            },
+        ),
         requests_in_reception: AtomicUsize::new(0),
         max_connections: 8,
         connections_memory_bytes: 1024 * 1024,
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -54,6 +54,10 @@
     pub(super) in_flight: usize,
     pub(super) connections: usize,
     pub(super) ready: bool,
+    pub(super) caller_connections: usize,
+    pub(super) caller_request_bytes: usize,
+    pub(super) caller_answer_bytes: usize,
+    pub(super) callers_evicted: u64,
 }
 
 /// All metrics of a gateway.
@@ -79,6 +83,10 @@
     in_flight: Gauge,
     connections: Gauge,
     ready: Gauge,
+    caller_connections: Gauge,
+    caller_request_bytes: Gauge,
+    caller_answer_bytes: Gauge,
+    callers_evicted: Counter,
 }
 
 impl fmt::Debug for GatewayMetrics {
@@ -119,6 +127,10 @@
             in_flight: Gauge::default(),
             connections: Gauge::default(),
             ready: Gauge::default(),
+            caller_connections: Gauge::default(),
+            caller_request_bytes: Gauge::default(),
+            caller_answer_bytes: Gauge::default(),
+            callers_evicted: Counter::default(),
         };
         metrics.register();
         metrics
@@ -168,6 +180,20 @@
         let connections = "Connections to servers, open or opening";
         registry.register("server_connections", connections, self.connections.clone());
         registry.register("ready", "1 where callers are wanted", self.ready.clone());
+        let connections = "Connections of callers";
+        registry.register(
+            "caller_connections",
+            connections,
+            self.caller_connections.clone(),
+        );
+        let held = "Bytes of requests that callers make the process hold";
+        let bytes = self.caller_request_bytes.clone();
+        registry.register("caller_request_bytes", held, bytes);
+        let held = "Bytes of answers that callers have not read";
+        let bytes = self.caller_answer_bytes.clone();
+        registry.register("caller_answer_bytes", held, bytes);
+        let evicted = "Callers whose connections were closed to make room for others";
+        registry.register("callers_evicted", evicted, self.callers_evicted.clone());
     }
 
     /// Records the end of a request.
@@ -275,6 +301,15 @@
         self.in_flight.set(gauges.in_flight as i64);
         self.connections.set(gauges.connections as i64);
         self.ready.set(i64::from(gauges.ready));
+        self.caller_connections
+            .set(gauges.caller_connections as i64);
+        self.caller_request_bytes
+            .set(gauges.caller_request_bytes as i64);
+        self.caller_answer_bytes
+            .set(gauges.caller_answer_bytes as i64);
+        let counted = self.callers_evicted.get();
+        let more = gauges.callers_evicted.saturating_sub(counted);
+        self.callers_evicted.inc_by(more);
         let mut encoded = String::new();
         // Writing to a `String` cannot fail.
         let _ = text::encode(&mut encoded, &self.registry);
--- a/crates/thornbridge-node/src/gateway/pages.rs
+++ b/crates/thornbridge-node/src/gateway/pages.rs
@@ -39,7 +39,7 @@
 
 /// Serves the page at every path until the process ends.
 pub(super) async fn serve(listener: TcpListener, page: Page) {
-    let table = CallerTable::new(LIMITS);
+    let table = CallerTable::new("pages", LIMITS);
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -260,7 +260,7 @@
             closing: AtomicBool::new(false),
             shutdown: CancellationToken::new(),
             reception_end: CancellationToken::new(),
-            table: CallerTable::new(caller_limits(settings.memory_bytes)),
+            table: CallerTable::new(CALLERS, caller_limits(settings.memory_bytes)),
             requests_in_reception: AtomicUsize::new(0),
             max_connections: settings.max_caller_connections,
             connections_memory_bytes: settings.memory_bytes / CONNECTION_PARTS,
@@ -277,6 +277,7 @@
             gauges: Arc::clone(&gauges),
             metrics: Arc::clone(&metrics),
             answer_delays,
+            callers: Arc::clone(&caller_context.table),
         };
         let store = StoreCalls::new(StoreClient::new(store), inputs.clone());
         let driver = GatewayDriver::new(
--- a/crates/thornbridge-node/src/server.rs
+++ b/crates/thornbridge-node/src/server.rs
@@ -50,7 +50,7 @@
     limits: ServerLimits,
     stop: CancellationToken,
 ) {
-    let table = CallerTable::new(table_limits(limits.memory_bytes));
+    let table = CallerTable::new(side, table_limits(limits.memory_bytes));
     let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
