Callers that give way are told when to come back; responses in a module of their own

Reread: a rejection for the memory that callers hold said nothing of when to come back, in gateways and nodes: it says a second now. Responses to callers move out of callers.rs, which had grown to 445 lines. Bytes that hold a reservation were written twice; one function now. No other change of behaviour.

--- a/crates/thornbridge-node/src/caller_table/account.rs
+++ b/crates/thornbridge-node/src/caller_table/account.rs
@@ -1,6 +1,7 @@
 //! Account of a connection, and what is reserved in it.
 
 use super::{CallerTable, Growth, Phase, Pool};
+use crate::held_bytes::holding;
 use bytes::Bytes;
 use std::sync::Arc;
 use tokio_util::sync::CancellationToken;
@@ -27,18 +28,6 @@
     bytes: usize,
 }
 
-/// Bytes with the reservation that is released when nothing refers to them any more.
-struct ReservedBytes {
-    bytes: Bytes,
-    _reservation: Reservation,
-}
-
-impl AsRef<[u8]> for ReservedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 impl Account {
     pub(super) fn new(
         table: Arc<CallerTable>,
@@ -115,10 +104,7 @@
 
     /// The bytes, which hold the reservation as long as anything refers to them.
     pub(crate) fn hold(self, bytes: Bytes) -> Bytes {
-        Bytes::from_owner(ReservedBytes {
-            bytes,
-            _reservation: self,
-        })
+        holding(bytes, self)
     }
 }
 
--- a/crates/thornbridge-node/src/callers/problem.rs
+++ b/crates/thornbridge-node/src/callers/problem.rs
@@ -14,6 +14,8 @@
 
 /// Media type of problems.
 const PROBLEM_MEDIA_TYPE: &str = "application/problem+json";
+/// `Retry-After` time of a caller that has to give way to others: a crowd is gone or evicted by then.
+const OVERLOADED_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Prefix of the URI reference that names a kind of problem.
 const PROBLEM_KIND_PREFIX: &str = "/problems/";
 
@@ -203,6 +205,9 @@
     if rejected.status == StatusCode::METHOD_NOT_ALLOWED {
         headers.insert(header::ALLOW, HeaderValue::from_static("POST"));
     }
+    if rejected.reason == RefusalReason::Overloaded {
+        headers.insert(header::RETRY_AFTER, whole_seconds(OVERLOADED_RETRY_AFTER));
+    }
     if rejected.close {
         headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
--- a/crates/thornbridge-node/src/gateway/body_memory.rs
+++ b/crates/thornbridge-node/src/gateway/body_memory.rs
@@ -4,6 +4,7 @@
 //! their sum exceeds the limit, the largest body that is still received is given up: a body that never
 //! ends outgrows the others, and a body is kept if it is smaller than the limit divided by their number.
 
+use crate::held_bytes::holding;
 use bytes::Bytes;
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -37,18 +38,6 @@
     given_up: CancellationToken,
 }
 
-/// A body with the share that is released when nothing refers to it any more.
-struct ReservedBody {
-    body: Bytes,
-    _reservation: BodyReservation,
-}
-
-impl AsRef<[u8]> for ReservedBody {
-    fn as_ref(&self) -> &[u8] {
-        &self.body
-    }
-}
-
 /// Share of a [`BodyMemory`] that one body holds; released when dropped.
 #[derive(Debug)]
 pub(super) struct BodyReservation {
@@ -133,10 +122,7 @@
         if let Some(held) = self.memory.lock().bodies.get_mut(&self.key) {
             held.is_complete = true;
         }
-        Bytes::from_owner(ReservedBody {
-            body,
-            _reservation: self,
-        })
+        holding(body, self)
     }
 
     /// Waits until this body is given up.
--- a/crates/thornbridge-node/src/gateway/callers.rs
+++ b/crates/thornbridge-node/src/gateway/callers.rs
@@ -3,9 +3,10 @@
 use super::activity::Activity;
 use super::answer_delay::AnswerDelays;
 use super::driver::{CallerRequest, GatewayInput};
-use super::headers::{HeaderNames, number_value, strip_hop_by_hop};
+use super::headers::{HeaderNames, strip_hop_by_hop};
 use super::observed_stream::ObservedStream;
 use super::reception::{self, Reception};
+use super::responses::{RejectedRequest, answer_response, evicted_response};
 use crate::caller_table::{Account, CallerTable, Evicted, Phase, Pool};
 use crate::sockets;
 use crate::unanswered::{OutcomeUnknown, Unanswered};
@@ -13,21 +14,19 @@
 use futures_util::FutureExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER,
-};
+use hyper::header::{AUTHORIZATION, CONNECTION, CONTENT_LENGTH, HOST, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 use thornbridge_config::routes::CallerLimits;
 use thornbridge_core::CallerId;
-use thornbridge_core::gateway::{GatewayAnswer, RefusalReason, RefusalStatus, RequestHead};
+use thornbridge_core::gateway::{GatewayAnswer, RequestHead};
 use thornbridge_proto::fingerprint::{Fingerprint, FingerprintSource};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -42,8 +41,6 @@
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(8);
 /// Interval between checks of a connection's timeouts.
 const TIMEOUT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Reason of a rejection where the process holds all that it may.
-const OVERLOADED: &str = "overloaded";
 /// Memory of an open connection beside its heads: task, write buffer, and what is held without a reservation.
 const CONNECTION_BYTES: usize = 16 * 1024;
 /// Length up to which an answer is not counted: part of what each connection may hold.
@@ -174,12 +171,9 @@
     let submitted = submit(context, account, request, first_on_connection).await;
     account.set_phase(Phase::AwaitingCaller);
     let mut response = match submitted {
-        Ok(answer) => {
-            let response = answer_response(&context.names, answer);
-            counted_answer(account, response).await
-        }
+        Ok(answer) => counted(account, answer_response(&context.names, answer)).await,
         Err(RequestError::Rejected(rejection)) => rejection.response(),
-        Err(RequestError::Evicted) => closing_response(StatusCode::BAD_GATEWAY, OVERLOADED),
+        Err(RequestError::Evicted) => evicted_response(),
         Err(RequestError::Unanswered(Unanswered::NotAccepted)) => {
             RejectedRequest::Stopping.response()
         }
@@ -190,31 +184,21 @@
         response.headers_mut().insert(CONNECTION, close);
     }
     activity.request_ended();
-    Ok(response)
+    Ok(response.map(Full::new))
 }
 
 /// Counts an answer until it is written to its connection, once there is room for it.
-async fn counted_answer(account: &Account, response: Response<Bytes>) -> Response<Full<Bytes>> {
-    if response.body().len() <= UNCOUNTED_ANSWER_BYTES {
-        return response.map(Full::new);
+async fn counted(account: &Account, response: Response<Bytes>) -> Response<Bytes> {
+    let bytes = response.body().len();
+    if bytes <= UNCOUNTED_ANSWER_BYTES {
+        return response;
     }
-    let reserving = account.reserve(Pool::Answers, response.body().len());
-    match reserving.await {
-        Ok(reservation) => response.map(|body| Full::new(reservation.hold(body))),
-        Err(Evicted) => closing_response(StatusCode::BAD_GATEWAY, OVERLOADED),
+    match account.reserve(Pool::Answers, bytes).await {
+        Ok(reservation) => response.map(|body| reservation.hold(body)),
+        Err(Evicted) => evicted_response(),
     }
 }
 
-/// Why a request was rejected before it reached the driver.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum RejectedRequest {
-    BodyTooLarge,
-    BodyTimedOut,
-    BodyIncomplete,
-    Overloaded,
-    Stopping,
-}
-
 /// Why the core gave no answer to a request.
 #[derive(Clone, Copy, Debug)]
 enum RequestError {
@@ -236,19 +220,6 @@
     }
 }
 
-impl RejectedRequest {
-    fn response(self) -> Response<Full<Bytes>> {
-        let (status, reason) = match self {
-            Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "body_too_large"),
-            Self::BodyTimedOut => (StatusCode::REQUEST_TIMEOUT, "body_too_slow"),
-            Self::BodyIncomplete => (StatusCode::BAD_REQUEST, "body_broken"),
-            Self::Overloaded => (StatusCode::SERVICE_UNAVAILABLE, OVERLOADED),
-            Self::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
-        };
-        closing_response(status, reason)
-    }
-}
-
 async fn submit(
     context: &CallerContext,
     account: &Account,
@@ -363,83 +334,3 @@
     };
     name.to_ascii_lowercase()
 }
-
-fn answer_response(names: &HeaderNames, answer: GatewayAnswer) -> Response<Bytes> {
-    match answer {
-        GatewayAnswer::Forwarded {
-            status,
-            headers,
-            body,
-        } => {
-            let mut response = Response::new(body);
-            *response.status_mut() =
-                StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-            *response.headers_mut() = headers;
-            response
-        }
-        GatewayAnswer::Gathered {
-            signatures,
-            missing,
-            records,
-        } => gathered_response(names, &signatures, missing, records),
-        GatewayAnswer::Refused {
-            reason,
-            status,
-            retry_after,
-        } => refusal_response(reason, status, retry_after),
-    }
-}
-
-fn gathered_response(
-    names: &HeaderNames,
-    signatures: &[Bytes],
-    missing: usize,
-    records: Bytes,
-) -> Response<Bytes> {
-    let mut response = Response::new(records);
-    let headers = response.headers_mut();
-    let octet_stream = HeaderValue::from_static("application/octet-stream");
-    headers.insert(CONTENT_TYPE, octet_stream);
-    if let Ok(joined) = HeaderValue::from_bytes(&signatures.join(&b", "[..])) {
-        headers.insert(names.part_signatures.clone(), joined);
-    }
-    headers.insert(names.parts_missing.clone(), number_value(missing as u64));
-    response
-}
-
-fn refusal_response(
-    reason: RefusalReason,
-    refusal_status: RefusalStatus,
-    retry_after: Option<Duration>,
-) -> Response<Bytes> {
-    let status = match refusal_status {
-        RefusalStatus::NotRun => StatusCode::SERVICE_UNAVAILABLE,
-        RefusalStatus::MayHaveRun => StatusCode::BAD_GATEWAY,
-        RefusalStatus::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-        RefusalStatus::BadRequest => StatusCode::BAD_REQUEST,
-        RefusalStatus::NotFound => StatusCode::NOT_FOUND,
-    };
-    let mut response = error_response(status, reason.as_str());
-    if let Some(after) = retry_after
-        && let Ok(seconds) = HeaderValue::try_from(format!("{:.3}", after.as_secs_f64()))
-    {
-        response.headers_mut().insert(RETRY_AFTER, seconds);
-    }
-    response
-}
-
-fn closing_response(status: StatusCode, reason: &str) -> Response<Full<Bytes>> {
-    let mut response = error_response(status, reason);
-    let close = HeaderValue::from_static("close");
-    response.headers_mut().insert(CONNECTION, close);
-    response.map(Full::new)
-}
-
-fn error_response(status: StatusCode, reason: &str) -> Response<Bytes> {
-    let body = serde_json::json!({ "error": reason }).to_string();
-    let mut response = Response::new(Bytes::from(body));
-    *response.status_mut() = status;
-    let json = HeaderValue::from_static("application/json");
-    response.headers_mut().insert(CONTENT_TYPE, json);
-    response
-}
--- a/crates/thornbridge-node/src/gateway/mod.rs
+++ b/crates/thornbridge-node/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod reception;
 mod relaying;
 mod reply_body;
+mod responses;
 mod server_reply;
 mod settings;
 mod store;
--- a/crates/thornbridge-node/src/gateway/reception.rs
+++ b/crates/thornbridge-node/src/gateway/reception.rs
@@ -1,6 +1,6 @@
 //! Reception of callers' requests: their bodies, and how many are being received.
 
-use super::callers::RejectedRequest;
+use super::responses::RejectedRequest;
 use crate::caller_table::{Account, Evicted, RequestBody};
 use bytes::Bytes;
 use http_body_util::BodyExt;
--- a/crates/thornbridge-node/src/lib.rs
+++ b/crates/thornbridge-node/src/lib.rs
@@ -15,6 +15,7 @@
 mod driver;
 mod error;
 pub mod gateway;
+mod held_bytes;
 mod input;
 mod joined_body;
 mod logging;
