Gateways: no request gives way for one that is refused itself

What callers met: where as many requests are in flight as a node takes, a request to a service without servers, or one that is kept from servers, was refused after a late request had been given up for it. Cause: room was made before it was known that the newcomer could start. Found when the change was read again. Change: whether there is room, or could be, is asked first; a request gives way when the newcomer starts. Test: unservable_newcomer_displaces_no_request failed before (one request given up) and passes.

--- a/crates/thornbridge-core/src/gateway/exchange/crowding.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/crowding.rs
@@ -5,25 +5,28 @@
 
 use super::request::Origin;
 use super::{Context, Exchanges, answering};
+use crate::driver_action::CallerId;
 use crate::gateway::action::{GatewayAction, RefusalReason};
+use crate::time::Timestamp;
 use thornbridge_proto::peer::slice::SliceStop;
 
 impl Exchanges {
-    /// Whether a request may start; gives up a late one if that is needed.
-    pub(super) fn make_room(&mut self, context: &mut Context<'_>) -> bool {
-        if self.requests.len() < self.parameters.requests_maximum {
-            return true;
+    /// Whether there is room for a request, or a late one that can give way.
+    pub(super) fn has_room(&self, now: Timestamp) -> bool {
+        !self.is_full() || self.latest(now).is_some()
+    }
+
+    /// Gives up the latest request if there is no room for one that is about to start.
+    pub(super) fn make_room(&mut self, context: &mut Context<'_>) {
+        if !self.is_full() {
+            return;
         }
-        let late = self.requests.values().filter(|request| {
-            matches!(request.origin, Origin::Caller) && request.soft_deadline < context.now
-        });
-        let latest = late.min_by_key(|request| request.soft_deadline);
-        let Some(caller) = latest.map(|request| request.caller) else {
-            return false;
+        let Some(caller) = self.latest(context.now) else {
+            return;
         };
         let cancel_at = context.now + self.parameters.gone_grace;
         let Some(mut request) = self.remove_request(context, caller, cancel_at) else {
-            return false;
+            return;
         };
         let reason = RefusalReason::Overloaded;
         let retry_after = self.parameters.retry_after;
@@ -35,6 +38,18 @@
             .push_back(GatewayAction::Answer { caller, answer });
         self.stop_slices(context, &mut request, SliceStop::CallerGone);
         self.log_outcome(context, &request, outcome, retry_after);
-        true
+    }
+
+    fn is_full(&self) -> bool {
+        self.requests.len() >= self.parameters.requests_maximum
+    }
+
+    /// The request of a caller that is late for the longest.
+    fn latest(&self, now: Timestamp) -> Option<CallerId> {
+        let late = self.requests.values().filter(|request| {
+            matches!(request.origin, Origin::Caller) && request.soft_deadline < now
+        });
+        let latest = late.min_by_key(|request| request.soft_deadline);
+        latest.map(|request| request.caller)
     }
 }
--- a/crates/thornbridge-core/src/gateway/exchange/mod.rs
+++ b/crates/thornbridge-core/src/gateway/exchange/mod.rs
@@ -146,7 +146,7 @@
         arrived: Timestamp,
     ) {
         let retry_after = self.parameters.retry_after;
-        if !self.make_room(context) {
+        if !self.has_room(context.now) {
             let reason = RefusalReason::Overloaded;
             self.refuse_unstarted(context, caller, &head, &route, reason, retry_after);
             return;
@@ -166,6 +166,7 @@
             self.refuse_unstarted(context, caller, &head, &route, reason, retry_after);
             return;
         }
+        self.make_room(context);
         // Owners cannot account for time that a stale request spent queued in this process.
         let plan = context
             .slices
