Callers' table: reread

Request bodies are joined by JoinedBody, which existed; what is reserved is asked of the reservation; the driver takes the table's lock once an iteration in place of four times; the listener for callers is told its buffer size in place of being known by its name. Behaviour and assertions are as they were.

--- a/crates/thornbridge-node/src/caller_table/account.rs
+++ b/crates/thornbridge-node/src/caller_table/account.rs
@@ -83,6 +83,11 @@
 }
 
 impl Reservation {
+    /// Bytes that are reserved.
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Reserves more bytes, once there is room for them.
     pub(crate) async fn grow(&mut self, bytes: usize) -> Result<(), Evicted> {
         loop {
@@ -110,6 +115,9 @@
 
 impl Drop for Reservation {
     fn drop(&mut self) {
+        if self.bytes == 0 {
+            return;
+        }
         self.table.release(self.key, self.pool, self.bytes);
     }
 }
--- a/crates/thornbridge-node/src/caller_table/mod.rs
+++ b/crates/thornbridge-node/src/caller_table/mod.rs
@@ -67,6 +67,19 @@
     }
 }
 
+/// What callers hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct TableUsage {
+    /// Open connections.
+    pub(crate) connections: usize,
+    /// Bytes of requests.
+    pub(crate) request_bytes: usize,
+    /// Bytes of answers.
+    pub(crate) answer_bytes: usize,
+    /// Accounts that were evicted since the start.
+    pub(crate) evicted: u64,
+}
+
 /// Connections of the callers of one listener.
 #[derive(Debug)]
 pub(crate) struct CallerTable {
@@ -147,14 +160,15 @@
         self.lock().open
     }
 
-    /// Bytes held in a pool.
-    pub(crate) fn held_bytes(&self, pool: Pool) -> usize {
-        self.lock().held[pool as usize]
-    }
-
-    /// Accounts that were evicted since the start.
-    pub(crate) fn evictions(&self) -> u64 {
-        self.lock().evictions
+    /// What is held now.
+    pub(crate) fn usage(&self) -> TableUsage {
+        let state = self.lock();
+        TableUsage {
+            connections: state.open,
+            request_bytes: state.held[Pool::Requests as usize],
+            answer_bytes: state.held[Pool::Answers as usize],
+            evicted: state.evictions,
+        }
     }
 
     fn try_admit(&self, max_connections: usize) -> Option<u64> {
--- a/crates/thornbridge-node/src/caller_table/request_body.rs
+++ b/crates/thornbridge-node/src/caller_table/request_body.rs
@@ -1,7 +1,8 @@
 //! Bodies of callers' requests: joined while they are received, and counted in the caller's account.
 
 use super::{Account, Evicted, Pool, Reservation};
-use bytes::{Bytes, BytesMut};
+use crate::joined_body::JoinedBody;
+use bytes::Bytes;
 
 /// Length up to which a body is not counted: part of what each connection may hold.
 const UNCOUNTED_BYTES: usize = 4 * 1_024;
@@ -12,72 +13,53 @@
 
 /// Body that is being received.
 #[derive(Debug)]
-pub(crate) struct RequestBody<'a> {
-    account: &'a Account,
+pub(crate) struct RequestBody {
     /// Longest body: no buffer is larger.
     max_bytes: usize,
     /// Length that the caller announced.
     announced_bytes: Option<usize>,
-    /// The first piece, while there is only one. It refers to the connection's read buffer.
-    first: Bytes,
-    joined: BytesMut,
-    reservation: Option<Reservation>,
-    reserved_bytes: usize,
+    joined: JoinedBody,
+    /// Of what the body's buffer holds.
+    reservation: Reservation,
 }
 
-impl<'a> RequestBody<'a> {
+impl RequestBody {
     /// An empty body of at most `max_bytes`, of which the caller has announced so many.
-    pub(crate) fn new(
-        account: &'a Account,
-        max_bytes: usize,
-        announced_bytes: Option<usize>,
-    ) -> Self {
+    pub(crate) fn new(account: &Account, max_bytes: usize, announced_bytes: Option<usize>) -> Self {
         Self {
-            account,
             max_bytes,
             announced_bytes,
-            first: Bytes::new(),
-            joined: BytesMut::new(),
-            reservation: None,
-            reserved_bytes: 0,
+            joined: JoinedBody::default(),
+            reservation: account.reservation(Pool::Requests),
         }
     }
 
     /// Bytes that were received.
     pub(crate) fn len(&self) -> usize {
-        self.first.len() + self.joined.len()
+        self.joined.len()
     }
 
     /// Adds a piece, once there is room for it.
     pub(crate) async fn push(&mut self, data: Bytes) -> Result<(), Evicted> {
-        if self.len() == 0 {
-            self.reserve(data.len()).await?;
-            self.first = data;
-            return Ok(());
-        }
-        // What is reserved is what the buffer holds, not what was received.
         let len = self.len() + data.len();
-        if len > self.joined.capacity() {
+        if self.len() == 0 {
+            self.reserve(len).await?;
+        } else if len > self.joined.capacity() {
+            // What is reserved is what the buffer holds, not what was received.
             let capacity = self.next_capacity(len);
             self.reserve(capacity).await?;
-            let more = capacity - self.joined.len();
-            self.joined.reserve(more);
+            self.joined.reserve(capacity);
         }
-        self.joined
-            .extend_from_slice(&std::mem::take(&mut self.first));
-        self.joined.extend_from_slice(&data);
+        self.joined.push(data);
         Ok(())
     }
 
     /// The whole body, which stays counted as long as anything refers to it.
     pub(crate) fn finish(self) -> Bytes {
-        let bytes = match self.joined.is_empty() {
-            true => self.first,
-            false => self.joined.freeze(),
-        };
-        match self.reservation {
-            Some(reservation) => reservation.hold(bytes),
-            None => bytes,
+        let bytes = self.joined.finish();
+        match self.reservation.bytes() {
+            0 => bytes,
+            _ => self.reservation.hold(bytes),
         }
     }
 
@@ -92,15 +74,9 @@
 
     /// Reserves so many bytes in all.
     async fn reserve(&mut self, bytes: usize) -> Result<(), Evicted> {
-        if bytes <= UNCOUNTED_BYTES || bytes <= self.reserved_bytes {
-            return Ok(());
+        match bytes.saturating_sub(self.reservation.bytes()) {
+            more if more > 0 && bytes > UNCOUNTED_BYTES => self.reservation.grow(more).await,
+            _ => Ok(()),
         }
-        let account = self.account;
-        let reservation = self
-            .reservation
-            .get_or_insert_with(|| account.reservation(Pool::Requests));
-        reservation.grow(bytes - self.reserved_bytes).await?;
-        self.reserved_bytes = bytes;
-        Ok(())
     }
 }
--- a/crates/thornbridge-node/src/caller_table/tests.rs
+++ b/crates/thornbridge-node/src/caller_table/tests.rs
@@ -23,7 +23,7 @@
 }
 
 fn requests(table: &CallerTable) -> usize {
-    table.held_bytes(Pool::Requests)
+    table.usage().request_bytes
 }
 
 #[tokio::test]
@@ -108,7 +108,7 @@
     drop(oldest);
     let _newcomer = admitting.await;
     assert_eq!(table.open(), 2);
-    assert_eq!(table.evictions(), 1);
+    assert_eq!(table.usage().evicted, 1);
 }
 
 /// Few connections have large buffers, and as many as may be open stay within the limit together.
--- a/crates/thornbridge-node/src/gateway/driver.rs
+++ b/crates/thornbridge-node/src/gateway/driver.rs
@@ -10,7 +10,7 @@
 use super::planned_stop::StopSchedule;
 use super::store::StateWrite;
 use super::store_calls::StoreCalls;
-use crate::caller_table::{CallerTable, Pool};
+use crate::caller_table::CallerTable;
 use crate::clock::{Clock, PauseDetector};
 use crate::input::{Input, InputReceiver};
 use crate::peers::Peers;
@@ -269,7 +269,6 @@
             self.handle(GatewayEvent::TimerDue);
         }
         self.run_actions();
-        let callers = &self.outputs.callers;
         let gauges = GaugeValues {
             members: self.gateway.members(),
             instances: self.gateway.registered_instances(),
@@ -279,10 +278,7 @@
             in_flight: self.gateway.in_flight(),
             connections: self.connections.len(),
             ready: *self.outputs.ready.borrow(),
-            caller_connections: callers.open(),
-            caller_request_bytes: callers.held_bytes(Pool::Requests),
-            caller_answer_bytes: callers.held_bytes(Pool::Answers),
-            callers_evicted: callers.evictions(),
+            callers: self.outputs.callers.usage(),
         };
         let mut published = self
             .outputs
--- a/crates/thornbridge-node/src/gateway/metrics.rs
+++ b/crates/thornbridge-node/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latency histograms of a gateway, in the Prometheus text format.
 
+use crate::caller_table::TableUsage;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -54,10 +55,7 @@
     pub(super) in_flight: usize,
     pub(super) connections: usize,
     pub(super) ready: bool,
-    pub(super) caller_connections: usize,
-    pub(super) caller_request_bytes: usize,
-    pub(super) caller_answer_bytes: usize,
-    pub(super) callers_evicted: u64,
+    pub(super) callers: TableUsage,
 }
 
 /// All metrics of a gateway.
@@ -301,14 +299,12 @@
         self.in_flight.set(gauges.in_flight as i64);
         self.connections.set(gauges.connections as i64);
         self.ready.set(i64::from(gauges.ready));
-        self.caller_connections
-            .set(gauges.caller_connections as i64);
-        self.caller_request_bytes
-            .set(gauges.caller_request_bytes as i64);
-        self.caller_answer_bytes
-            .set(gauges.caller_answer_bytes as i64);
+        let callers = &gauges.callers;
+        self.caller_connections.set(callers.connections as i64);
+        self.caller_request_bytes.set(callers.request_bytes as i64);
+        self.caller_answer_bytes.set(callers.answer_bytes as i64);
         let counted = self.callers_evicted.get();
-        let more = gauges.callers_evicted.saturating_sub(counted);
+        let more = callers.evicted.saturating_sub(counted);
         self.callers_evicted.inc_by(more);
         let mut encoded = String::new();
         // Writing to a `String` cannot fail.
--- a/crates/thornbridge-node/src/gateway/process.rs
+++ b/crates/thornbridge-node/src/gateway/process.rs
@@ -180,7 +180,7 @@
     pub fn bind(settings: &GatewaySettings) -> Result<Self, GatewayError> {
         let metrics = settings.metrics_address;
         Ok(Self {
-            callers: listen(CALLERS, settings.caller_address)?,
+            callers: listen_for_callers(settings.caller_address)?,
             readiness: listen("readiness", settings.readiness_address)?,
             peers: listen("peers", settings.peer_address)?,
             metrics: metrics
@@ -193,7 +193,7 @@
     pub fn bind_loopback() -> Result<Self, GatewayError> {
         let any_port = SocketAddr::from((std::net::Ipv4Addr::LOCALHOST, 0));
         Ok(Self {
-            callers: listen(CALLERS, any_port)?,
+            callers: listen_for_callers(any_port)?,
             readiness: listen("readiness", any_port)?,
             peers: listen("peers", any_port)?,
             metrics: Some(listen("metrics", any_port)?),
@@ -201,16 +201,29 @@
     }
 }
 
+/// Listens for callers, with small buffers until their connections are accepted.
+fn listen_for_callers(address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    bind(CALLERS, address, Some(BACKLOG_BUFFER_BYTES))
+}
+
 fn listen(side: &'static str, address: SocketAddr) -> Result<TcpListener, GatewayError> {
+    bind(side, address, None)
+}
+
+fn bind(
+    side: &'static str,
+    address: SocketAddr,
+    receive_buffer_bytes: Option<u32>,
+) -> Result<TcpListener, GatewayError> {
     let bind = || {
         let socket = match address {
             SocketAddr::V4(_) => TcpSocket::new_v4()?,
             SocketAddr::V6(_) => TcpSocket::new_v6()?,
         };
         socket.set_reuseaddr(true)?;
-        if side == CALLERS {
+        if let Some(bytes) = receive_buffer_bytes {
             // Where the system refuses the size the listener works without.
-            let _ = socket.set_recv_buffer_size(BACKLOG_BUFFER_BYTES);
+            let _ = socket.set_recv_buffer_size(bytes);
         }
         socket.bind(address)?;
         socket.listen(LISTEN_BACKLOG)
--- a/crates/thornbridge-node/src/joined_body.rs
+++ b/crates/thornbridge-node/src/joined_body.rs
@@ -21,6 +21,16 @@
         self.joined.extend_from_slice(&data);
     }
 
+    /// Size of the buffer, which is none while there is only one piece.
+    pub(crate) fn capacity(&self) -> usize {
+        self.joined.capacity()
+    }
+
+    /// Makes room for so many bytes in all.
+    pub(crate) fn reserve(&mut self, bytes: usize) {
+        self.joined.reserve(bytes - self.joined.len());
+    }
+
     /// Bytes that were added.
     pub(crate) fn len(&self) -> usize {
         self.first.len() + self.joined.len()
